--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,72 @@
+// Package admission decides whether a query is accepted. A refusal comes
+// before any attempt is sent, so it is truly not run.
+package admission
+
+import (
+	"time"
+
+	"carawaycross.example/carawaycross/policy"
+)
+
+// A Request is the input of an admission.
+type Request struct {
+	// Rank is the class's priority, 0 to Ranks-1, 0 the highest.
+	Rank, Ranks int
+	// InFlight counts the admitted queries; Most bounds them.
+	InFlight, Most int
+	// Wait is the longest estimated queueing time over the wanted shards.
+	Wait time.Duration
+	// Typical is the median time of an attempt; 0 while unknown.
+	Typical time.Duration
+	// Left is the time until the deadline.
+	Left time.Duration
+}
+
+// A Reason says why a request was refused; empty means admitted.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	Admitted    Reason = ""
+	TooMany     Reason = "too-many-queries"
+	CannotMeet  Reason = "deadline-cannot-be-met"
+	Poison      Reason = "request-crashes-upstreams"
+	NotReady    Reason = "not-ready"
+	NoService   Reason = "unknown-service"
+	BadDeadline Reason = "bad-deadline"
+	OutOfUse    Reason = "vm-out"
+)
+
+// A Policy admits or refuses.
+type Policy = policy.Policy[Request, Reason]
+
+// ByClass refuses what cannot meet its deadline, and keeps room for higher
+// classes: the lowest class is refused first as the VM fills.
+type ByClass struct{}
+
+// Decide admits or refuses one request.
+func (ByClass) Decide(r Request) Reason {
+	room := r.Most
+	if r.Ranks > 1 {
+		// Each lower class leaves a further eighth of the room to those above.
+		room -= r.Most * r.Rank / (8 * (r.Ranks - 1))
+	}
+	if r.InFlight >= room {
+		return TooMany
+	}
+	if r.Wait+r.Typical > r.Left {
+		return CannotMeet
+	}
+	return Admitted
+}
+
+// All admits up to the bound, whatever the class; it is the baseline.
+type All struct{}
+
+// Decide admits while there is room.
+func (All) Decide(r Request) Reason {
+	if r.InFlight >= r.Most {
+		return TooMany
+	}
+	return Admitted
+}
--- /dev/null
+++ b/booking/ticket.go
@@ -0,0 +1,70 @@
+package booking
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"carawaycross.example/carawaycross/ident"
+)
+
+const (
+	ticketPrefix = "ticket."
+	longestKey   = 128
+	// latestMilliseconds keeps an Instant within its range.
+	latestMilliseconds = 1 << 42
+)
+
+// A Ticket is the content of a request key that an entry VM issued.
+type Ticket struct {
+	VM          ident.VMID
+	Incarnation ident.Incarnation
+	Number      uint64
+}
+
+// Key returns the request key: ticket.VM.INCARNATION.NUMBER.
+func (t Ticket) Key() ident.RequestKey {
+	return ident.RequestKey(ticketPrefix + string(t.VM) + "." +
+		strconv.FormatUint(uint64(t.Incarnation), 10) + "." + strconv.FormatUint(t.Number, 10))
+}
+
+// IsTicket reports whether key claims to be a ticket.
+func IsTicket(key ident.RequestKey) bool {
+	return strings.HasPrefix(string(key), ticketPrefix)
+}
+
+// ParseTicket returns the ticket of a well formed key.
+func ParseTicket(key ident.RequestKey) (Ticket, bool) {
+	if !IsTicket(key) {
+		return Ticket{}, false
+	}
+	fields := strings.Split(strings.TrimPrefix(string(key), ticketPrefix), ".")
+	if len(fields) != 3 || fields[0] == "" {
+		return Ticket{}, false
+	}
+	incarnation, err := strconv.ParseUint(fields[1], 10, 64)
+	if err != nil {
+		return Ticket{}, false
+	}
+	number, err := strconv.ParseUint(fields[2], 10, 64)
+	if err != nil || number == 0 {
+		return Ticket{}, false
+	}
+	t := Ticket{ident.VMID(fields[0]), ident.Incarnation(incarnation), number}
+	return t, t.Key() == key
+}
+
+// IssuedAt returns the time that a caller's own key carries. Such a key is
+// MILLISECONDS-TEXT, the time since the Unix epoch, so that every send of the
+// key tells the same age.
+func IssuedAt(key ident.RequestKey) (ident.Instant, bool) {
+	ms, text, ok := strings.Cut(string(key), "-")
+	if !ok || text == "" || len(key) > longestKey {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(ms, 10, 64)
+	if err != nil || n <= 0 || n > latestMilliseconds {
+		return 0, false
+	}
+	return ident.Instant(n) * ident.Instant(time.Millisecond), true
+}
--- /dev/null
+++ b/config/fleet.go
@@ -0,0 +1,87 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+
+	"carawaycross.example/carawaycross/ident"
+)
+
+// LeastSlotShare is the share of all slots that a step must leave in use.
+const LeastSlotShare ident.Share = 0.5
+
+// A FleetReplica is one replica as the capacity check sees it.
+type FleetReplica struct {
+	Service ident.ServiceID
+	Shard   ident.ShardID
+	ID      ident.ReplicaID
+	Zone    ident.ZoneID
+	Slots   int
+}
+
+// A Fleet is what the deployment consists of.
+type Fleet struct {
+	Zones    []ident.ZoneID
+	VMs      []ident.VMID
+	Replicas []FleetReplica
+}
+
+type shardKey struct {
+	service ident.ServiceID
+	shard   ident.ShardID
+}
+
+// Check refuses a change to a zone or VM that the fleet does not have and,
+// unless forced, one that leaves a shard without a replica or less than
+// LeastSlotShare of the slots.
+func (f *Fleet) Check(after *Configuration, ch Change) error {
+	op := string(ch.Kind)
+	switch ch.Kind {
+	case ZoneOut, ZoneIn:
+		if !slices.Contains(f.Zones, ident.ZoneID(ch.Subject)) {
+			return &Error{op, Unknown, fmt.Errorf("availability zone %q; known: %v", ch.Subject, f.Zones)}
+		}
+	case VMOut, VMIn:
+		if !f.hasVM(ch.Subject) {
+			return &Error{op, Unknown, fmt.Errorf("VM %q", ch.Subject)}
+		}
+	case PutPreset, SwitchPreset:
+		return nil
+	}
+	if ch.Force || ch.Kind == ZoneIn || ch.Kind == VMIn {
+		return nil
+	}
+	return f.checkCapacity(op, after)
+}
+
+func (f *Fleet) hasVM(name string) bool {
+	return slices.Contains(f.VMs, ident.VMID(name)) ||
+		slices.ContainsFunc(f.Replicas, func(r FleetReplica) bool { return string(r.ID) == name })
+}
+
+func (f *Fleet) checkCapacity(op string, after *Configuration) error {
+	if left := len(f.Zones) - len(after.ZonesOut); left < 1 && len(f.Zones) > 0 {
+		return &Error{op, Capacity, fmt.Errorf("no availability zone of %d would be left", len(f.Zones))}
+	}
+	total, left := 0, 0
+	perShard := map[shardKey]int{}
+	for _, r := range f.Replicas {
+		k := shardKey{r.Service, r.Shard}
+		total += r.Slots
+		if after.ZoneIsOut(r.Zone) || after.VMIsOut(string(r.ID)) {
+			perShard[k] += 0
+			continue
+		}
+		left += r.Slots
+		perShard[k]++
+	}
+	for _, r := range f.Replicas {
+		if perShard[shardKey{r.Service, r.Shard}] == 0 {
+			return &Error{op, Capacity, fmt.Errorf("%s shard %d would have no replica left", r.Service, r.Shard)}
+		}
+	}
+	if float64(left) < float64(LeastSlotShare)*float64(total) {
+		return &Error{op, Capacity, fmt.Errorf("%d of %d slots would be left, at least %.0f%% are needed", left, total, 100*LeastSlotShare)}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,322 @@
+// Package control is the decision core of one VM's control state: the
+// configuration in force, the roster, the news, and the view that traffic
+// reads. Like package node it has no clock, transport or codec: the owner tells
+// it what happened and carries out the actions that Drain returns.
+package control
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"carawaycross.example/carawaycross/config"
+	"carawaycross.example/carawaycross/container"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/news"
+	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/roster"
+	"carawaycross.example/carawaycross/view"
+)
+
+const (
+	// ProbePeriod is the time between two probes.
+	ProbePeriod = time.Second
+	ackTimeout  = 400 * time.Millisecond
+	// pushDelay gathers pieces that come close together.
+	pushDelay   = 20 * time.Millisecond
+	pushFanout  = 3
+	indirect    = 2
+	joinFanout  = 3
+	deadEvery   = 10
+	membersSent = 16
+	newsSent    = 16
+	chunkSize   = 32
+	// toldTimes is how often a piece is told by each VM that learned it.
+	toldTimes = 8
+	// staleAfter is how long silence of the platform goes unremarked.
+	staleAfter = 30 * time.Second
+)
+
+// A Config is the identity and the catalogue of a Core.
+type Config struct {
+	Self roster.Member
+	// Seeds are other VMs known from the settings.
+	Seeds []roster.Member
+	// Services are the catalogue; Out, Leaving, ColdMark and Rank are ignored.
+	Services []view.Service
+	Fleet    config.Fleet
+	// Random decides whom to tell; nil takes a fixed seed.
+	Random replica.Random
+}
+
+// A Kind tells which fields of an Action are set.
+type Kind uint8
+
+// The kinds of Action.
+const (
+	// Send sends a Message to the VM To at Address.
+	Send Kind = iota
+	// Repair writes Configuration to the platform, which holds an older one.
+	Repair
+	// Publish makes View the current view.
+	Publish
+)
+
+// An Action is something that the owner does for the Core.
+type Action struct {
+	Kind          Kind
+	To            ident.VMID
+	Address       string
+	Message       *Message
+	Configuration *config.Configuration
+	View          *view.View
+}
+
+type probe struct {
+	target   ident.VMID
+	sequence uint64
+	// Indirect is set once others were asked to probe.
+	indirect bool
+	// For is the VM that asked for this probe, with its sequence.
+	forVM  ident.VMID
+	forSeq uint64
+}
+
+type timerKind uint8
+
+const (
+	probeTimer timerKind = iota
+	ackTimer
+	pushTimer
+)
+
+type timer struct {
+	kind     timerKind
+	sequence uint64
+}
+
+// A PeerVersion is the configuration that another VM last told to have.
+type PeerVersion struct {
+	Version ident.Version
+	// Since is when it was first heard, Heard when it was last heard.
+	Since, Heard ident.Instant
+}
+
+// A Core is the decision core of one VM's control state.
+type Core struct {
+	config        Config
+	random        replica.Random
+	roster        *roster.Roster
+	configuration config.Configuration
+	// InForceSince is when the current version came into force here.
+	inForceSince ident.Instant
+	news         news.Book
+	newsOut      news.Outbox[news.Key, news.Item]
+	membersOut   news.Outbox[ident.VMID, roster.Member]
+	timers       container.Timers[timer]
+	// Probes holds the probes that wait for an ack.
+	probes   map[uint64]*probe
+	sequence uint64
+	rounds   int
+	// PushSet is true while a push timer is pending.
+	pushSet   bool
+	chunkNext int
+	versions  map[ident.VMID]PeerVersion
+	platform  PlatformState
+	changed   bool
+	actions   []Action
+}
+
+// PlatformState is what the Core knows of the platform.
+type PlatformState struct {
+	Reachable bool
+	// LastHeard is the last success; FailingSince the first failure after it.
+	LastHeard, FailingSince ident.Instant
+	// Regressed is true while the store held an older version than this VM.
+	Regressed bool
+	LastError string
+}
+
+// New returns a Core at its VM's start.
+func New(now ident.Instant, c Config) *Core {
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(1, 2))
+	}
+	core := &Core{
+		config: c, random: c.Random, roster: roster.New(now, c.Self),
+		probes: map[uint64]*probe{}, versions: map[ident.VMID]PeerVersion{}, changed: true,
+	}
+	for _, seed := range c.Seeds {
+		core.roster.Merge(now, seed)
+	}
+	core.timers.Add(now, timer{kind: probeTimer})
+	core.publish(now)
+	return core
+}
+
+// Drain appends the actions decided since the last Drain to buf.
+func (c *Core) Drain(buf []Action) []Action {
+	buf = append(buf, c.actions...)
+	clear(c.actions)
+	c.actions = c.actions[:0]
+	return buf
+}
+
+// Wake returns when Tick is due next.
+func (c *Core) Wake() ident.Instant { return min(c.timers.Next(), c.news.Next()) }
+
+// Configuration returns the configuration in force here.
+func (c *Core) Configuration() config.Configuration { return c.configuration }
+
+// Watches reports whether this VM should watch the platform now.
+func (c *Core) Watches() bool { return c.configuration.Version == 0 || c.roster.Watches() }
+
+// Tick carries out what is due at now.
+func (c *Core) Tick(now ident.Instant) {
+	for {
+		t, ok := c.timers.Pop(now)
+		if !ok {
+			break
+		}
+		switch t.kind {
+		case probeTimer:
+			c.startRound(now)
+		case ackTimer:
+			c.missedAck(now, t.sequence)
+		case pushTimer:
+			c.pushSet = false
+			c.push(now)
+		}
+	}
+	if c.news.Expire(now) {
+		c.changed = true
+	}
+	c.settle(now)
+}
+
+// Report takes evidence of this VM's own traffic.
+func (c *Core) Report(now ident.Instant, n node.News) {
+	kind := news.Kind(n.Kind)
+	subject := string(n.Replica)
+	if n.Kind == node.Crash {
+		subject = fingerprintSubject(n.Fingerprint)
+	}
+	c.tell(now, kind, subject, n.Crashes)
+	c.settle(now)
+}
+
+func (c *Core) tell(now ident.Instant, kind news.Kind, subject string, count int) {
+	key := news.Key{Kind: kind, Subject: subject, Origin: c.config.Self.VM}
+	item := news.Item{Key: key, Sequence: uint64(now), Expires: now.Add(kind.Lifetime()), Count: count}
+	if old, ok := c.news.Get(key); ok && kind == news.Crash {
+		item.Count += old.Count
+	}
+	c.learn(now, item)
+}
+
+func (c *Core) learn(now ident.Instant, item news.Item) {
+	if !c.news.Add(now, item) {
+		return
+	}
+	c.changed = true
+	c.newsOut.Add(item.Key, item, toldTimes)
+	c.schedulePush(now)
+}
+
+// Leave tells the other VMs that this one stops.
+func (c *Core) Leave(now ident.Instant) {
+	c.roster.Leave(now)
+	c.settle(now)
+	c.push(now)
+}
+
+// Platform takes the configuration that the store holds; Version 0 for none.
+func (c *Core) Platform(now ident.Instant, held config.Configuration) {
+	c.platform.Reachable, c.platform.LastHeard = true, now
+	c.platform.FailingSince, c.platform.LastError = 0, ""
+	c.platform.Regressed = held.Version < c.configuration.Version
+	if c.platform.Regressed {
+		newest := c.configuration
+		c.actions = append(c.actions, Action{Kind: Repair, Configuration: &newest})
+		return
+	}
+	c.adopt(now, held)
+	c.settle(now)
+}
+
+// PlatformFailed notes that the store could not be reached.
+func (c *Core) PlatformFailed(now ident.Instant, why string) {
+	if c.platform.FailingSince == 0 {
+		c.platform.FailingSince = now
+	}
+	c.platform.Reachable, c.platform.LastError = false, why
+}
+
+// Operated takes a configuration that an operator's change made here.
+func (c *Core) Operated(now ident.Instant, next config.Configuration) {
+	c.adopt(now, next)
+	c.settle(now)
+}
+
+// Listed takes the platform's list of VMs and replicas.
+func (c *Core) Listed(now ident.Instant, vms []Listed) {
+	var live []ident.VMID
+	for _, vm := range vms {
+		live = append(live, ident.VMID(vm.Name))
+		if !vm.Leaving {
+			continue
+		}
+		key := news.Key{Kind: news.Leaving, Subject: vm.Name, Origin: c.config.Self.VM}
+		if old, ok := c.news.Get(key); !ok || old.Expires.Sub(now) < news.Leaving.Lifetime()/2 {
+			c.tell(now, news.Leaving, vm.Name, 0)
+		}
+	}
+	c.roster.SetListed(live)
+	c.changed = true
+	c.settle(now)
+}
+
+// Listed is an entry of the platform's list.
+type Listed struct {
+	Name    string
+	Leaving bool
+}
+
+// adopt takes a configuration of a higher version; any other is ignored, so
+// the version never falls.
+func (c *Core) adopt(now ident.Instant, next config.Configuration) {
+	if next.Version <= c.configuration.Version {
+		return
+	}
+	c.configuration = next
+	c.inForceSince = now
+	c.changed = true
+	c.schedulePush(now)
+}
+
+// settle expires the roster, gathers what changed and publishes a new view.
+func (c *Core) settle(now ident.Instant) {
+	c.roster.Expire(now)
+	for _, m := range c.roster.Changed() {
+		c.membersOut.Add(m.VM, m, toldTimes)
+		c.changed = true
+		c.schedulePush(now)
+	}
+	if c.changed {
+		c.publish(now)
+	}
+}
+
+func (c *Core) schedulePush(now ident.Instant) {
+	if !c.pushSet {
+		c.pushSet = true
+		c.timers.Add(now.Add(pushDelay), timer{kind: pushTimer})
+	}
+}
+
+func (c *Core) push(now ident.Instant) {
+	for _, m := range c.roster.Sample(c.random, pushFanout, "") {
+		c.send(now, m, &Message{Kind: Push})
+	}
+}
+
--- /dev/null
+++ b/control/gossip.go
@@ -0,0 +1,197 @@
+package control
+
+import (
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/roster"
+)
+
+// startRound sends this period's probe. The first rounds reach several VMs, so
+// that a VM that starts without the platform learns from its peers at once.
+func (c *Core) startRound(now ident.Instant) {
+	c.timers.Add(now.Add(ProbePeriod), timer{kind: probeTimer})
+	c.rounds++
+	if c.configuration.Version == 0 {
+		for _, m := range c.roster.Sample(c.random, joinFanout, "") {
+			c.probe(now, m, probe{})
+		}
+		return
+	}
+	if m, ok := c.roster.NextProbe(c.random); ok {
+		c.probe(now, m, probe{})
+	}
+	if c.rounds%deadEvery == 0 {
+		if m, ok := c.roster.Dead(c.random); ok {
+			c.send(now, m, &Message{Kind: Probe})
+		}
+	}
+}
+
+func (c *Core) probe(now ident.Instant, m roster.Member, p probe) {
+	c.sequence++
+	p.target, p.sequence = m.VM, c.sequence
+	c.probes[p.sequence] = &p
+	c.timers.Add(now.Add(ackTimeout), timer{kind: ackTimer, sequence: p.sequence})
+	c.send(now, m, &Message{Kind: Probe, Sequence: p.sequence})
+}
+
+// missedAck asks others to probe, and suspects the VM when they had no answer
+// either.
+func (c *Core) missedAck(now ident.Instant, sequence uint64) {
+	p := c.probes[sequence]
+	if p == nil {
+		return
+	}
+	if p.indirect || p.forVM != "" {
+		delete(c.probes, sequence)
+		if p.forVM == "" {
+			c.roster.Suspect(now, p.target)
+		}
+		return
+	}
+	p.indirect = true
+	c.timers.Add(now.Add(ackTimeout), timer{kind: ackTimer, sequence: sequence})
+	for _, m := range c.roster.Sample(c.random, indirect, p.target) {
+		c.send(now, m, &Message{Kind: ProbeRequest, Sequence: sequence, Target: p.target})
+	}
+}
+
+// Receive takes a message of another VM.
+func (c *Core) Receive(now ident.Instant, m *Message) {
+	c.heard(now, m)
+	c.merge(now, m)
+	switch m.Kind {
+	case Probe:
+		c.answer(now, m)
+	case Ack:
+		c.acked(now, m)
+	case ProbeRequest:
+		if target, ok := c.roster.Member(m.Target); ok {
+			c.probe(now, target, probe{forVM: m.From, forSeq: m.Sequence})
+		}
+	case Push:
+	}
+	if m.Kind != Probe && m.Digest.Configuration != c.configuration.Version {
+		c.reconcile(now, m)
+	}
+	c.settle(now)
+}
+
+func (c *Core) heard(now ident.Instant, m *Message) {
+	v := c.versions[m.From]
+	if m.Digest.Configuration > v.Version {
+		v = PeerVersion{Version: m.Digest.Configuration, Since: now}
+	}
+	v.Heard = now
+	c.versions[m.From] = v
+}
+
+// merge takes the pieces that a message carries.
+func (c *Core) merge(now ident.Instant, m *Message) {
+	for _, member := range m.Members {
+		c.roster.Merge(now, member)
+	}
+	for _, item := range m.News {
+		if item.Origin != c.config.Self.VM {
+			c.learn(now, item)
+		}
+	}
+	if m.Configuration != nil {
+		c.adopt(now, *m.Configuration)
+	}
+	next := c.configuration
+	for _, ch := range m.Changes {
+		if ch.Version <= next.Version {
+			continue
+		}
+		applied, err := next.Apply(ch)
+		if err != nil {
+			// A gap: the sender is told by this VM's digest and sends the rest.
+			break
+		}
+		next = applied
+	}
+	c.adopt(now, next)
+}
+
+// reconcile closes the gap between two configurations: it sends what the other
+// VM lacks, or a digest by which that VM sees what this one lacks.
+func (c *Core) reconcile(now ident.Instant, m *Message) {
+	if peer, ok := c.roster.Member(m.From); ok {
+		c.sendSince(now, peer, &Message{Kind: Push}, m.Digest.Configuration)
+	}
+}
+
+func (c *Core) answer(now ident.Instant, m *Message) {
+	peer, ok := c.roster.Member(m.From)
+	if !ok {
+		return
+	}
+	ack := &Message{Kind: Ack, Sequence: m.Sequence}
+	if m.Digest.Roster != c.roster.Hash() {
+		ack.Members = c.chunk()
+	}
+	c.sendSince(now, peer, ack, m.Digest.Configuration)
+}
+
+// acked ends a probe, also one made for another VM. A VM that answers while it
+// is believed dead or suspect is told of it by the message's members.
+func (c *Core) acked(now ident.Instant, m *Message) {
+	p := c.probes[m.Sequence]
+	if p == nil || p.target != m.From {
+		return
+	}
+	delete(c.probes, m.Sequence)
+	if p.forVM != "" {
+		if peer, ok := c.roster.Member(p.forVM); ok {
+			c.send(now, peer, &Message{Kind: Ack, Sequence: p.forSeq, Target: m.From})
+		}
+	}
+	if m.Digest.Roster != c.roster.Hash() {
+		if peer, ok := c.roster.Member(m.From); ok {
+			c.send(now, peer, &Message{Kind: Push, Members: c.chunk()})
+		}
+	}
+}
+
+// chunk returns the next members of a rotation over the whole roster, so that
+// the cost of closing a gap is the same at every size.
+func (c *Core) chunk() []roster.Member {
+	members := c.roster.Members()
+	out := make([]roster.Member, 0, chunkSize)
+	for range min(chunkSize, len(members)) {
+		c.chunkNext = (c.chunkNext + 1) % len(members)
+		out = append(out, members[c.chunkNext])
+	}
+	return out
+}
+
+// sendSince sends a message with the changes after version known.
+func (c *Core) sendSince(now ident.Instant, to roster.Member, m *Message, known ident.Version) {
+	if known < c.configuration.Version {
+		if changes, ok := c.configuration.Since(known); ok {
+			m.Changes = changes
+		} else {
+			whole := c.configuration
+			m.Configuration = &whole
+		}
+	}
+	c.send(now, to, m)
+}
+
+// send fills in what every message carries. A Push without content of its own
+// takes the changes that the receiver lacks, as far as this VM knows.
+func (c *Core) send(_ ident.Instant, to roster.Member, m *Message) {
+	m.From = c.config.Self.VM
+	m.Digest = Digest{c.configuration.Version, c.roster.Hash()}
+	if m.Kind == Push && m.Changes == nil && m.Configuration == nil {
+		if known := c.versions[to.VM].Version; known < c.configuration.Version {
+			m.Changes, _ = c.configuration.Since(max(known, c.configuration.Version-1))
+		}
+	}
+	m.Members = append(m.Members, c.membersOut.Take(membersSent)...)
+	if to.State == roster.Suspect || to.State == roster.Dead {
+		m.Members = append(m.Members, to)
+	}
+	m.News = c.newsOut.Take(newsSent)
+	c.actions = append(c.actions, Action{Kind: Send, To: to.VM, Address: to.Address, Message: m})
+}
--- /dev/null
+++ b/control/status.go
@@ -0,0 +1,38 @@
+package control
+
+import (
+	"carawaycross.example/carawaycross/config"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/news"
+	"carawaycross.example/carawaycross/roster"
+)
+
+// A Status is the control state, for operators.
+type Status struct {
+	Self          roster.Member
+	Configuration config.Configuration
+	InForceSince  ident.Instant
+	Members       []roster.Member
+	// Versions are the configurations that other VMs last told to have.
+	Versions map[ident.VMID]PeerVersion
+	Senders  int
+	Watching bool
+	Platform PlatformState
+	News     []news.Item
+}
+
+// Status returns a copy of the control state.
+func (c *Core) Status() Status {
+	s := Status{
+		Self: c.roster.Self(), Configuration: c.configuration, InForceSince: c.inForceSince,
+		Members: c.roster.Members(), Versions: map[ident.VMID]PeerVersion{},
+		Senders: len(c.roster.Senders()), Watching: c.Watches(), Platform: c.platform,
+	}
+	for vm, v := range c.versions {
+		s.Versions[vm] = v
+	}
+	for item := range c.news.All {
+		s.News = append(s.News, item)
+	}
+	return s
+}
--- /dev/null
+++ b/control/view.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carawaycross.example/carawaycross/container"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/news"
+	"carawaycross.example/carawaycross/poison"
+	"carawaycross.example/carawaycross/roster"
+	"carawaycross.example/carawaycross/view"
+)
+
+func fingerprintSubject(f poison.Fingerprint) string {
+	return strconv.FormatUint(uint64(f), 16)
+}
+
+// publish builds the view of the current state.
+func (c *Core) publish(now ident.Instant) {
+	c.changed = false
+	self := c.roster.Self()
+	v := &view.View{
+		Self: self.VM, Incarnation: self.Incarnation, Zone: self.Zone,
+		Version: c.configuration.Version,
+	}
+	if p := c.configuration.Current(); p != nil {
+		v.Ready, v.Preset = true, *p
+	}
+	v.Out = c.configuration.ZoneIsOut(self.Zone) || c.configuration.VMIsOut(string(self.VM))
+	senders := c.roster.Senders()
+	v.VMs = len(senders)
+	leaving, cold := c.upstreamNews()
+	v.Services = make([]view.Service, len(c.config.Services))
+	for i, s := range c.config.Services {
+		s.Replicas = append([]view.Replica(nil), s.Replicas...)
+		for j := range s.Replicas {
+			r := &s.Replicas[j]
+			r.Out = c.configuration.ZoneIsOut(r.Zone) || c.configuration.VMIsOut(string(r.ID))
+			r.Leaving = leaving[string(r.ID)]
+			r.ColdMark = cold[string(r.ID)]
+			r.Rank = roster.Rank(self.VM, senders, string(r.ID))
+		}
+		v.Services[i] = s
+	}
+	v.Members = c.viewMembers()
+	v.Poisoned = c.poisoned(now)
+	c.actions = append(c.actions, Action{Kind: Publish, View: v})
+}
+
+// upstreamNews returns which replicas are leaving, and a mark for each that
+// some VM found cold.
+func (c *Core) upstreamNews() (leaving map[string]bool, cold map[string]uint64) {
+	leaving, cold = map[string]bool{}, map[string]uint64{}
+	latest := map[string]uint64{}
+	for item := range c.news.All {
+		switch item.Kind {
+		case news.Leaving:
+			leaving[item.Subject] = true
+		case news.Cold:
+			if item.Sequence >= latest[item.Subject] {
+				latest[item.Subject] = item.Sequence
+				cold[item.Subject] = item.Sequence ^ xxhash.Sum64String(string(item.Origin)) | 1
+			}
+		case news.Lost, news.Crash:
+		}
+	}
+	return leaving, cold
+}
+
+func (c *Core) viewMembers() container.COW[ident.VMID, view.Member] {
+	members := map[ident.VMID]view.Member{}
+	for _, m := range c.roster.Members() {
+		if m.VM == c.config.Self.VM {
+			continue
+		}
+		members[m.VM] = view.Member{
+			Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation, State: m.State.String(),
+		}
+	}
+	return container.NewCOW(members)
+}
+
+// poisoned returns the requests that crashed upstreams often enough, counted
+// over all VMs, and until when they are refused.
+func (c *Core) poisoned(now ident.Instant) container.COW[poison.Fingerprint, ident.Instant] {
+	count := map[string]int{}
+	until := map[string]ident.Instant{}
+	for item := range c.news.All {
+		if item.Kind == news.Crash && item.Expires > now {
+			count[item.Subject] += item.Count
+			until[item.Subject] = max(until[item.Subject], item.Expires)
+		}
+	}
+	refused := map[poison.Fingerprint]ident.Instant{}
+	for subject, n := range count {
+		f, err := strconv.ParseUint(subject, 16, 64)
+		if err == nil && n >= poison.Threshold {
+			refused[poison.Fingerprint(f)] = until[subject]
+		}
+	}
+	return container.NewCOW(refused)
+}
--- /dev/null
+++ b/node/action.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"time"
+
+	"carawaycross.example/carawaycross/admission"
+	"carawaycross.example/carawaycross/booking"
+	"carawaycross.example/carawaycross/coverage"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/poison"
+)
+
+// A Kind tells which fields of an Action are set.
+type Kind uint8
+
+// The kinds of Action.
+const (
+	// Send starts an attempt: Attempt, Query, Replica, Address, Connections,
+	// Service, Shard, Snapshot, Body, Key, Deadline.
+	Send Kind = iota
+	// Abort cancels a started attempt: Attempt.
+	Abort
+	// Finish ends a query: Query, Answer.
+	Finish
+	// Claim asks for a claim of a request key: Query, Key, Deadline.
+	Claim
+	// Forward passes a request on to the VM that issued its ticket: Query, VM,
+	// Deadline.
+	Forward
+	// Tell reports evidence to control: News.
+	Tell
+)
+
+// An Action is something that the front end does for the Core.
+type Action struct {
+	Kind    Kind
+	Query   ident.QueryID
+	Attempt ident.AttemptID
+	Replica ident.ReplicaID
+	Address string
+	// Connections is this VM's share of the replica's connections.
+	Connections int
+	Service     ident.ServiceID
+	Shard       ident.ShardID
+	Snapshot    ident.SnapshotID
+	Body        []byte
+	Key         ident.RequestKey
+	Deadline    ident.Instant
+	VM          ident.VMID
+	Answer      *Answer
+	News        News
+}
+
+// A NewsKind is a kind of evidence.
+type NewsKind string
+
+// The kinds of News.
+const (
+	Cold    NewsKind = "cold"
+	Leaving NewsKind = "leaving"
+	Lost    NewsKind = "lost"
+	Crash   NewsKind = "crash"
+)
+
+// News is evidence that other VMs should hear of.
+type News struct {
+	Kind        NewsKind
+	Replica     ident.ReplicaID
+	Fingerprint poison.Fingerprint
+	// Crashes counts the rounds of crashes of a Crash.
+	Crashes int
+}
+
+// A Part is the result of one shard.
+type Part struct {
+	Shard   ident.ShardID
+	Replica ident.ReplicaID
+	Result  []byte
+}
+
+// An Answer ends a query. Refusal is nil when it carries results.
+type Answer struct {
+	// Snapshot is the one snapshot of all Parts; 0 for a booking.
+	Snapshot ident.SnapshotID
+	Map      ident.MapVersion
+	Parts    []Part
+	Coverage coverage.Report
+	// Firsts and Extra count the attempts sent.
+	Firsts, Extra int
+	Took          time.Duration
+	Preset        ident.PresetName
+	// Repeated is true when the result of an earlier send was kept.
+	Repeated bool
+	Refusal  *Refusal
+}
+
+// A Refusal is an answer without results.
+type Refusal struct {
+	// Outcome is true of the request key as a whole for a booking, and of this
+	// send for a search.
+	Outcome booking.Outcome
+	Reason  admission.Reason
+	Detail  string
+	// RetryAfter is when a resend may succeed; 0 if untold.
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/node/attempt.go
@@ -0,0 +1,243 @@
+package node
+
+import (
+	"time"
+
+	"carawaycross.example/carawaycross/container"
+	"carawaycross.example/carawaycross/coverage"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/replica"
+)
+
+// first sends the first attempt of a part, or queues it for a place.
+func (c *Core) first(now ident.Instant, q *query, i int) {
+	p := &q.parts[i]
+	if p.shard == nil || p.shard.Usable(now) == 0 {
+		c.settle(now, q, i, missing, coverage.NoReplica)
+		return
+	}
+	r := c.choose(now, q, p, true)
+	if r == nil {
+		c.enqueue(now, q, i)
+		return
+	}
+	c.startFirst(now, q, i, r)
+}
+
+func (c *Core) startFirst(now ident.Instant, q *query, i int, r *replica.State) {
+	q.firsts++
+	q.svc.budget(q.rank).First(now, q.preset.ExtraShare, q.preset.FaultExtraShare)
+	c.send(now, q, i, r)
+}
+
+// choose picks a replica that was not tried; with again set, any eligible one
+// when all were tried.
+func (c *Core) choose(now ident.Instant, q *query, p *part, again bool) *replica.State {
+	in := replica.Selection{
+		Now: now, Shard: &p.shard.Shard, Snapshot: q.at,
+		Tried: p.tried[:p.attempts], Random: c.config.Random,
+	}
+	r := c.policies.Choice.Decide(&in)
+	if r == nil && again && p.attempts > 0 {
+		in.Tried = nil
+		r = c.policies.Choice.Decide(&in)
+	}
+	return r
+}
+
+func (c *Core) spend(now ident.Instant, q *query, hedge bool) bool {
+	return c.policies.Spend.Decide(SpendQuestion{
+		Now: now, Budget: q.svc.budget(q.rank), Hedge: hedge,
+	})
+}
+
+func (c *Core) send(now ident.Instant, q *query, i int, r *replica.State) {
+	p := &q.parts[i]
+	h := c.attempts.Put(attempt{
+		query: q.handle, part: i, replica: r, svc: q.svc, shard: p.shard, sent: now, asked: q.at,
+	})
+	p.state = open
+	p.live[p.liveCount] = h
+	p.liveCount++
+	p.tried[p.attempts] = r
+	p.attempts++
+	r.InFlight++
+	c.actions = append(c.actions, Action{
+		Kind: Send, Query: ident.QueryID(q.handle), Attempt: ident.AttemptID(h),
+		Replica: r.ID, Address: r.Address, Connections: r.Shares.ConnectionShare(),
+		Service: q.svc.id, Shard: r.Shard,
+		Snapshot: q.at, Body: q.arrival.Body, Key: q.arrival.Key, Deadline: q.deadline,
+	})
+}
+
+// enqueue lets a part wait for a place at its shard.
+func (c *Core) enqueue(now ident.Instant, q *query, i int) {
+	p := &q.parts[i]
+	p.state = waiting
+	evicted, full := p.shard.waiting.Push(q.rank, waiter{q.handle, i})
+	c.wakeShard(now, q.svc, p.shard)
+	if !full {
+		return
+	}
+	if eq := c.query(ident.QueryID(evicted.query)); eq != nil {
+		c.giveUp(now, eq, evicted.part, coverage.Overload)
+	}
+}
+
+// wakeShard looks at the shard's queue again soon: places also come from time,
+// when a ramp rises or an interval ends.
+func (c *Core) wakeShard(now ident.Instant, svc *service, sh *shard) {
+	if sh.waking {
+		return
+	}
+	sh.waking = true
+	c.timers.Add(now.Add(parkedRetry), timer{kind: shardTimer, svc: svc, shard: sh})
+}
+
+// serveWaiting sends the attempts that wait for a place at the shard, while
+// there are places.
+func (c *Core) serveWaiting(now ident.Instant, svc *service, sh *shard) {
+	for sh.waiting.Len() > 0 && sh.spare(now) {
+		w, _ := sh.waiting.Pop()
+		q := c.query(ident.QueryID(w.query))
+		if q == nil || q.answered || w.part >= len(q.parts) || q.parts[w.part].state != waiting {
+			continue
+		}
+		c.serve(now, q, w.part)
+	}
+	if sh.waiting.Len() > 0 {
+		c.wakeShard(now, svc, sh)
+	}
+}
+
+func (c *Core) serve(now ident.Instant, q *query, i int) {
+	p := &q.parts[i]
+	r := c.choose(now, q, p, true)
+	switch {
+	case r == nil:
+		// No place on a replica that holds the snapshot: try again soon.
+		c.park(now, q, i)
+	case p.attempts == 0:
+		c.startFirst(now, q, i, r)
+	default:
+		q.extra++
+		c.send(now, q, i, r)
+	}
+}
+
+func (sh *shard) spare(now ident.Instant) bool {
+	for _, r := range sh.Replicas {
+		if r.Spare(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) park(now ident.Instant, q *query, i int) {
+	q.parts[i].state = parked
+	c.timers.Add(now.Add(parkedRetry), timer{kind: retryTimer, query: q.handle, part: i})
+}
+
+// resume tries a parked part again.
+func (c *Core) resume(now ident.Instant, q *query, i int) {
+	if q.answered || i >= len(q.parts) || q.parts[i].state != parked || q.held(i) {
+		return
+	}
+	p := &q.parts[i]
+	if p.attempts == 0 {
+		c.first(now, q, i)
+		return
+	}
+	c.retry(now, q, i, p.reason)
+}
+
+// Reply takes the end of an attempt. A reply of an attempt that was aborted or
+// never sent is ignored, so it is never credited to another request.
+func (c *Core) Reply(now ident.Instant, reply Reply) {
+	h := container.Handle(reply.Attempt)
+	at := c.attempts.Get(h)
+	if at == nil {
+		return
+	}
+	a := *at
+	c.attempts.Free(h)
+	c.observe(now, &a, &reply)
+	if q := c.query(ident.QueryID(a.query)); q != nil {
+		q.parts[a.part].drop(h)
+		c.replied(now, q, &a, &reply)
+	}
+	c.serveWaiting(now, a.svc, a.shard)
+}
+
+// observe records what the end of an attempt tells of its replica.
+func (c *Core) observe(now ident.Instant, a *attempt, reply *Reply) {
+	r := a.replica
+	r.InFlight--
+	if reply.Held.Known() && reply.Held != r.Held {
+		r.Held = reply.Held
+		a.svc.stale = true
+	}
+	r.ReportedLoad = reply.Load
+	took := now.Sub(a.sent)
+	if reply.Outcome == replica.OK {
+		a.svc.latency.Record(now, took)
+	}
+	if reply.Outcome == replica.Shed {
+		if q := c.query(ident.QueryID(a.query)); q != nil {
+			a.svc.budget(q.rank).Shed(now)
+		}
+	}
+	if r.Observe(now, c.sample(now, a, reply.Outcome, took)) {
+		a.svc.stale = true
+		c.tellCondition(now, r, reply.Outcome)
+	}
+	if reply.Draining && r.Condition(now) != replica.Leaving {
+		r.Leave(now)
+		c.tell(News{Kind: Leaving, Replica: r.ID})
+	}
+}
+
+func (c *Core) sample(now ident.Instant, a *attempt, o replica.Outcome, took time.Duration) replica.Sample {
+	return replica.Sample{
+		Outcome: o, Took: took, Typical: a.svc.latency.Median(now),
+		MayEject: c.policies.Eject.Decide(EjectQuestion{now, &a.shard.Shard, a.replica}),
+	}
+}
+
+func (c *Core) tellCondition(now ident.Instant, r *replica.State, o replica.Outcome) {
+	switch r.Condition(now) {
+	case replica.Leaving:
+		c.tell(News{Kind: Leaving, Replica: r.ID})
+	case replica.Lost:
+		c.tell(News{Kind: Lost, Replica: r.ID})
+	case replica.Cold:
+		if o == replica.RefusedCold {
+			c.tell(News{Kind: Cold, Replica: r.ID})
+		}
+	case replica.Warm, replica.Ejected:
+	}
+}
+
+func (c *Core) tell(n News) {
+	c.actions = append(c.actions, Action{Kind: Tell, News: n})
+}
+
+// abortPart cancels the part's attempts in flight.
+func (c *Core) abortPart(now ident.Instant, q *query, i int) {
+	p := &q.parts[i]
+	for p.liveCount > 0 {
+		h := p.live[p.liveCount-1]
+		p.liveCount--
+		a := *c.attempts.Get(h)
+		c.attempts.Free(h)
+		a.replica.InFlight--
+		if a.replica.Observe(now, c.sample(now, &a, replica.Aborted, now.Sub(a.sent))) {
+			a.svc.stale = true
+		}
+		c.actions = append(c.actions, Action{Kind: Abort, Attempt: ident.AttemptID(h)})
+		if a.shard.waiting.Len() > 0 {
+			c.wakeShard(now, a.svc, a.shard)
+		}
+	}
+}
--- /dev/null
+++ b/node/booking.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"carawaycross.example/carawaycross/admission"
+	"carawaycross.example/carawaycross/booking"
+	"carawaycross.example/carawaycross/container"
+	"carawaycross.example/carawaycross/coverage"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/replica"
+)
+
+// Reasons of refused bookings.
+const (
+	badKey       admission.Reason = "bad-request-key"
+	outcomeLost  admission.Reason = "outcome-unknown"
+	keyElsewhere admission.Reason = "issuing-vm-unreachable"
+	noUpstream   admission.Reason = "no-upstream"
+)
+
+func (c *Core) arriveBooking(now ident.Instant, q *query) {
+	verdict, vm := c.ledger.Begin(now, q.arrival.Key)
+	if verdict == booking.Forward && q.arrival.Relayed {
+		verdict = booking.Unknown
+	}
+	switch verdict {
+	case booking.Forward:
+		c.forward(now, q, vm)
+	case booking.Claim:
+		c.running[q.arrival.Key] = q.handle
+		c.actions = append(c.actions, Action{
+			Kind: Claim, Query: ident.QueryID(q.handle), Key: q.arrival.Key, Deadline: q.deadline,
+		})
+	default:
+		c.decide(now, q, verdict)
+	}
+}
+
+func (c *Core) forward(now ident.Instant, q *query, vm ident.VMID) {
+	if _, known := c.view.Members.Get(vm); !known {
+		c.refuse(now, q, booking.MayHaveRun, keyElsewhere, "the ticket's VM "+string(vm)+" is not known here")
+		return
+	}
+	c.actions = append(c.actions, Action{
+		Kind: Forward, Query: ident.QueryID(q.handle), VM: vm, Deadline: q.deadline,
+	})
+}
+
+// decide carries out a verdict of the ledger.
+func (c *Core) decide(now ident.Instant, q *query, verdict booking.Verdict) {
+	switch verdict {
+	case booking.Dispatch:
+		c.dispatch(now, q)
+	case booking.Repeat:
+		c.finish(now, q, &Answer{
+			Repeated: true, Parts: []Part{{Result: c.ledger.Result(q.arrival.Key)}},
+		})
+	case booking.Join:
+		c.join(now, q)
+	case booking.Invalid:
+		c.refuse(now, q, booking.NotRun, badKey,
+			"allowed: a ticket of this deployment, or MILLISECONDS-TEXT with the time of now")
+	default:
+		c.refuse(now, q, booking.MayHaveRun, outcomeLost, "an earlier send of this key may have run")
+	}
+}
+
+func (c *Core) join(now ident.Instant, q *query) {
+	if first := c.query(ident.QueryID(c.running[q.arrival.Key])); first != nil && first != q {
+		first.joined = append(first.joined, ident.QueryID(q.handle))
+		return
+	}
+	c.refuse(now, q, booking.MayHaveRun, outcomeLost, "an earlier send of this key is running")
+}
+
+// dispatch sends the one attempt of a booking. The shard follows from the key.
+func (c *Core) dispatch(now ident.Instant, q *query) {
+	q.dispatched = true
+	c.running[q.arrival.Key] = q.handle
+	m := q.svc.maps.Newest()
+	if m == nil || len(m.Shards) == 0 {
+		c.bookingNotRun(now, q, coverage.NoReplica)
+		return
+	}
+	id := m.Shards[int(booking.RangeOf(q.arrival.Key))%len(m.Shards)]
+	q.at, q.pinned = 0, *m
+	q.parts = append(q.parts[:0], part{shard: q.svc.shards[id]})
+	q.unsettled = 1
+	c.first(now, q, 0)
+	if h := q.handle; h != 0 && !q.answered && len(q.parts) > 0 && q.parts[0].state == missing {
+		c.bookingNotRun(now, q, q.parts[0].reason)
+	}
+}
+
+// bookingReplied ends a booking, or retries it when it surely did not run.
+func (c *Core) bookingReplied(now ident.Instant, q *query, a *attempt, reply *Reply) {
+	switch {
+	case reply.Outcome == replica.OK || reply.Outcome == replica.Failed:
+		c.bookingRan(now, q, a, reply)
+	case reply.Outcome.NotRun() && !q.answered:
+		c.retry(now, q, a.part, coverage.Overload)
+	case reply.Outcome.NotRun():
+		c.bookingNotRun(now, q, coverage.Overload)
+	default:
+		if reply.Outcome == replica.Broken {
+			q.crashes = 1
+			c.crashed(now, q)
+		}
+		c.bookingUnknown(now, q, "the upstream was lost while it ran")
+	}
+}
+
+func (c *Core) bookingRan(now ident.Instant, q *query, a *attempt, reply *Reply) {
+	answer := func() *Answer {
+		if reply.Outcome == replica.Failed {
+			return &Answer{Refusal: &Refusal{Outcome: booking.Ran, Reason: "upstream-error", Detail: string(reply.Result)}}
+		}
+		return &Answer{Parts: []Part{{Shard: reply.Shard, Replica: a.replica.ID, Result: reply.Result}}}
+	}
+	if reply.Outcome == replica.OK {
+		c.ledger.Finish(q.arrival.Key, booking.Ran, reply.Result)
+	} else {
+		c.ledger.Finish(q.arrival.Key, booking.MayHaveRun, nil)
+	}
+	c.endWith(now, q, answer)
+}
+
+func (c *Core) bookingNotRun(now ident.Instant, q *query, reason coverage.Reason) {
+	c.ledger.Finish(q.arrival.Key, booking.NotRun, nil)
+	c.endWith(now, q, func() *Answer {
+		return &Answer{Refusal: &Refusal{Outcome: booking.NotRun, Reason: noUpstream, Detail: string(reason)}}
+	})
+}
+
+func (c *Core) bookingUnknown(now ident.Instant, q *query, detail string) {
+	c.ledger.Finish(q.arrival.Key, booking.MayHaveRun, nil)
+	c.endWith(now, q, func() *Answer {
+		return &Answer{Refusal: &Refusal{Outcome: booking.MayHaveRun, Reason: outcomeLost, Detail: detail}}
+	})
+}
+
+// endWith answers the query and the sends that joined it, and forgets the run.
+func (c *Core) endWith(now ident.Instant, q *query, answer func() *Answer) {
+	delete(c.running, q.arrival.Key)
+	q.dispatched = false
+	for _, id := range q.joined {
+		if j := c.query(id); j != nil && !j.answered {
+			c.finish(now, j, answer())
+		}
+	}
+	q.joined = q.joined[:0]
+	if q.answered {
+		c.release(now, q)
+		return
+	}
+	c.finish(now, q, answer())
+}
+
+// endBooking settles the ledger for a booking that is released while its
+// attempt may still run.
+func (c *Core) endBooking(q *query) {
+	if !q.dispatched {
+		return
+	}
+	q.dispatched = false
+	outcome := booking.NotRun
+	if q.live() {
+		outcome = booking.MayHaveRun
+	}
+	c.ledger.Finish(q.arrival.Key, outcome, nil)
+	delete(c.running, q.arrival.Key)
+}
+
+// expireBooking answers a booking at its deadline. One that was never sent is
+// surely not run; one in flight goes on for the sake of a resend.
+func (c *Core) expireBooking(now ident.Instant, q *query) {
+	if q.dispatched && !q.live() {
+		c.bookingNotRun(now, q, coverage.Late)
+		return
+	}
+	c.refuse(now, q, booking.MayHaveRun, outcomeLost, "no result before the deadline")
+}
+
+// Claimed takes the result of a Claim action.
+func (c *Core) Claimed(now ident.Instant, id ident.QueryID, key ident.RequestKey, result booking.ClaimResult) {
+	verdict := c.ledger.Claimed(key, result)
+	q := c.query(id)
+	if q == nil || q.answered || q.arrival.Key != key {
+		// The caller was answered; give the key back to a later send.
+		if verdict == booking.Dispatch {
+			c.ledger.Finish(key, booking.NotRun, nil)
+		}
+		if c.running[key] == container.Handle(id) {
+			delete(c.running, key)
+		}
+		return
+	}
+	if verdict == booking.Dispatch {
+		c.dispatch(now, q)
+		return
+	}
+	detail := "another VM holds this key"
+	if result == booking.Unavailable {
+		detail = "the key could not be claimed; an earlier send may have run"
+	}
+	c.endWith(now, q, func() *Answer {
+		return &Answer{Refusal: &Refusal{Outcome: booking.MayHaveRun, Reason: outcomeLost, Detail: detail}}
+	})
+}
+
+// Forwarded takes the answer of the VM that a request was forwarded to; nil
+// when it could not be reached.
+func (c *Core) Forwarded(now ident.Instant, id ident.QueryID, answer *Answer) {
+	q := c.query(id)
+	if q == nil || q.answered {
+		return
+	}
+	if answer == nil {
+		c.refuse(now, q, booking.MayHaveRun, keyElsewhere, "the VM that issued the ticket did not answer")
+		return
+	}
+	c.finish(now, q, answer)
+}
--- /dev/null
+++ b/node/core.go
@@ -0,0 +1,315 @@
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"carawaycross.example/carawaycross/admission"
+	"carawaycross.example/carawaycross/booking"
+	"carawaycross.example/carawaycross/container"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/poison"
+	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/view"
+)
+
+const (
+	// parkedRetry is the wait of a part that no budget or place was left for.
+	parkedRetry = 10 * time.Millisecond
+	// BookingGrace is how long a booking's reply is awaited after its caller
+	// was told that it may have run.
+	BookingGrace = 5 * time.Second
+	// massLossUpstreams lost within massLossSpan excuse the requests on others.
+	massLossUpstreams = 3
+	massLossSpan      = time.Second
+	breaksKept        = 64
+)
+
+// A Config is the identity and the injected parts of a Core.
+type Config struct {
+	VM          ident.VMID
+	Incarnation ident.Incarnation
+	// Random decides between equal choices; nil takes a fixed seed.
+	Random   replica.Random
+	Policies Policies
+}
+
+type timerKind uint8
+
+const (
+	deadlineTimer timerKind = iota
+	hedgeTimer
+	retryTimer
+	shardTimer
+)
+
+type timer struct {
+	kind  timerKind
+	query container.Handle
+	part  int
+	svc   *service
+	shard *shard
+}
+
+type breakage struct {
+	at          ident.Instant
+	fingerprint poison.Fingerprint
+	replica     *replica.State
+}
+
+// A Core is the decision core of one VM's traffic. See the package comment.
+type Core struct {
+	config   Config
+	policies Policies
+	view     *view.View
+	services map[ident.ServiceID]*service
+	queries  container.Slab[*query]
+	attempts container.Slab[attempt]
+	timers   container.Timers[timer]
+	ledger   *booking.Ledger
+	poison   poison.Register
+	// Breaks are the latest losses of upstreams with an attempt in flight.
+	breaks *container.Ring[breakage]
+	// Running maps the key of each dispatched booking to its query.
+	running map[ident.RequestKey]container.Handle
+	actions []Action
+	// Spare holds finished queries for reuse.
+	spare []*query
+	// Admitted counts the queries that were admitted and not answered.
+	admitted int
+}
+
+// New returns a Core without a view; it refuses requests until Install.
+func New(config Config) *Core {
+	if config.Random == nil {
+		config.Random = rand.New(rand.NewPCG(1, 2))
+	}
+	return &Core{
+		config:   config,
+		policies: config.Policies.withDefaults(),
+		services: map[ident.ServiceID]*service{},
+		ledger:   booking.NewLedger(config.VM, config.Incarnation),
+		running:  map[ident.RequestKey]container.Handle{},
+		breaks:   container.NewRing[breakage](breaksKept),
+	}
+}
+
+// Drain appends the actions decided since the last Drain to buf. Actions that
+// share a query or attempt must be carried out in their order.
+func (c *Core) Drain(buf []Action) []Action {
+	buf = append(buf, c.actions...)
+	clear(c.actions)
+	c.actions = c.actions[:0]
+	return buf
+}
+
+// Wake returns when Tick is due next, or ident.Never.
+func (c *Core) Wake() ident.Instant { return c.timers.Next() }
+
+// InFlight returns the number of admitted queries that are not answered.
+func (c *Core) InFlight() int { return c.admitted }
+
+// Issue returns a new ticket, or false when too many keys are known.
+func (c *Core) Issue(now ident.Instant) (ident.RequestKey, bool) {
+	return c.ledger.Issue(now)
+}
+
+// Install takes a new view from control.
+func (c *Core) Install(now ident.Instant, v *view.View) {
+	c.view = v
+	keep := make(map[ident.ServiceID]bool, len(v.Services))
+	for i := range v.Services {
+		vs := &v.Services[i]
+		keep[vs.ID] = true
+		svc := c.services[vs.ID]
+		if svc == nil {
+			svc = newService(vs.ID)
+			c.services[vs.ID] = svc
+		}
+		svc.install(now, v, vs)
+		for _, sh := range svc.shards {
+			c.serveWaiting(now, svc, sh)
+		}
+	}
+	for id := range c.services {
+		if !keep[id] {
+			delete(c.services, id)
+		}
+	}
+}
+
+// Arrive takes a caller's request and returns the number of its query, which
+// the actions refer to.
+func (c *Core) Arrive(now ident.Instant, a Arrival) ident.QueryID {
+	q := c.newQuery(now, a)
+	h := c.queries.Put(q)
+	q.handle = h
+	if reason, detail := c.refusal(now, q); reason != admission.Admitted {
+		c.refuse(now, q, booking.NotRun, reason, detail)
+		return ident.QueryID(h)
+	}
+	c.admitted++
+	q.admitted = true
+	c.timers.Add(q.deadline, timer{kind: deadlineTimer, query: h})
+	if a.Key != "" {
+		c.arriveBooking(now, q)
+		return ident.QueryID(h)
+	}
+	c.startSearch(now, q)
+	return ident.QueryID(h)
+}
+
+// refusal checks a new query, fills in what the preset decides, and returns
+// why it is refused.
+func (c *Core) refusal(now ident.Instant, q *query) (admission.Reason, string) {
+	if c.view == nil || !c.view.Ready {
+		return admission.NotReady, "this VM knows no configuration yet"
+	}
+	if c.view.Out && !q.arrival.Relayed {
+		return admission.OutOfUse, "operators took this VM out"
+	}
+	q.svc = c.services[q.arrival.Service]
+	if q.svc == nil {
+		return admission.NoService, "no service of this name in this deployment"
+	}
+	p := &c.view.Preset
+	limit := q.arrival.Deadline
+	if limit == 0 {
+		limit = p.DefaultDeadline
+	}
+	if limit < 0 || limit > p.LongestDeadline {
+		return admission.BadDeadline, "allowed: above 0, at most " + p.LongestDeadline.String()
+	}
+	q.deadline = now.Add(limit)
+	q.wanted = q.arrival.WantedCoverage
+	if q.wanted == 0 {
+		q.wanted = p.WantedCoverage
+	}
+	q.rank = p.Rank(q.arrival.Class)
+	q.preset = p
+	q.fingerprint = poison.Of(q.arrival.Service, q.arrival.Body)
+	if left := c.poisonedFor(now, q.fingerprint); left > 0 {
+		return admission.Poison, "crashed upstreams; refused for " + left.Round(time.Second).String()
+	}
+	return c.admit(now, q), ""
+}
+
+func (c *Core) poisonedFor(now ident.Instant, f poison.Fingerprint) time.Duration {
+	left := c.poison.Refused(now, f)
+	if until, ok := c.view.Poisoned.Get(f); ok {
+		left = max(left, until.Sub(now))
+	}
+	return left
+}
+
+func (c *Core) admit(now ident.Instant, q *query) admission.Reason {
+	median := q.svc.latency.Median(now)
+	var wait time.Duration
+	for _, sh := range q.svc.shards {
+		if ahead := sh.waiting.Ahead(q.rank); ahead > 0 {
+			wait = max(wait, sh.Wait(now, ahead, median))
+		}
+	}
+	return c.policies.Admit.Decide(admission.Request{
+		Rank: q.rank, Ranks: len(q.preset.Classes),
+		InFlight: c.admitted, Most: q.preset.QueriesInFlight,
+		Wait: wait, Typical: median, Left: q.deadline.Sub(now),
+	})
+}
+
+// Cancel ends a query whose caller went away. A booking that was dispatched
+// goes on, so that a resend of its key learns how it ended.
+func (c *Core) Cancel(now ident.Instant, id ident.QueryID) {
+	q := c.query(id)
+	if q == nil || q.answered {
+		return
+	}
+	c.expire(now, q)
+}
+
+func (c *Core) query(id ident.QueryID) *query {
+	if q := c.queries.Get(container.Handle(id)); q != nil {
+		return *q
+	}
+	return nil
+}
+
+// Tick carries out what is due at now.
+func (c *Core) Tick(now ident.Instant) {
+	for {
+		t, ok := c.timers.Pop(now)
+		if !ok {
+			return
+		}
+		if t.kind == shardTimer {
+			t.shard.waking = false
+			c.serveWaiting(now, t.svc, t.shard)
+			continue
+		}
+		q := c.query(ident.QueryID(t.query))
+		if q == nil {
+			continue
+		}
+		switch t.kind {
+		case deadlineTimer:
+			c.expire(now, q)
+		case hedgeTimer:
+			c.hedge(now, q)
+		case retryTimer:
+			c.resume(now, q, t.part)
+		case shardTimer:
+		}
+	}
+}
+
+// expire ends a query with what has come: at its deadline, or early when the
+// caller went away.
+func (c *Core) expire(now ident.Instant, q *query) {
+	switch {
+	case q.answered:
+		c.release(now, q)
+	case q.arrival.Key != "":
+		c.expireBooking(now, q)
+	default:
+		c.finishSearch(now, q)
+	}
+}
+
+func (c *Core) refuse(now ident.Instant, q *query, o booking.Outcome, r admission.Reason, detail string) {
+	a := &Answer{Refusal: &Refusal{Outcome: o, Reason: r, Detail: detail}}
+	if q.svc != nil && (r == admission.TooMany || r == admission.CannotMeet) {
+		a.Refusal.RetryAfter = max(q.svc.latency.Median(now), time.Millisecond)
+	}
+	c.finish(now, q, a)
+}
+
+// finish emits the answer and releases the query, except for a booking whose
+// attempt may still run.
+func (c *Core) finish(now ident.Instant, q *query, a *Answer) {
+	a.Took = now.Sub(q.started)
+	a.Firsts, a.Extra = q.firsts, q.extra
+	if q.preset != nil {
+		a.Preset = q.preset.Name
+	}
+	q.answered = true
+	if q.admitted {
+		c.admitted--
+	}
+	c.actions = append(c.actions, Action{Kind: Finish, Query: ident.QueryID(q.handle), Answer: a})
+	if q.arrival.Key != "" && q.live() {
+		c.timers.Add(now.Add(BookingGrace), timer{kind: deadlineTimer, query: q.handle})
+		return
+	}
+	c.release(now, q)
+}
+
+// release aborts what still runs and frees the query.
+func (c *Core) release(now ident.Instant, q *query) {
+	c.endBooking(q)
+	for i := range q.parts {
+		c.abortPart(now, q, i)
+	}
+	c.queries.Free(q.handle)
+	q.reset()
+	c.spare = append(c.spare, q)
+}
--- /dev/null
+++ b/node/query.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"carawaycross.example/carawaycross/container"
+	"carawaycross.example/carawaycross/coverage"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/poison"
+	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/snapshot"
+)
+
+type partState uint8
+
+const (
+	// open has attempts in flight.
+	open partState = iota
+	// waiting is queued at its shard for a free place.
+	waiting
+	// parked waits for a budget or for the canary of its query.
+	parked
+	// covered has a result.
+	covered
+	// missing has a reason instead.
+	missing
+)
+
+const mostAttempts = preset.MostAttempts
+
+// A part is one shard's share of a query.
+type part struct {
+	shard  *shard
+	state  partState
+	reason coverage.Reason
+	// Live are the attempts in flight; liveCount of them.
+	live      [mostAttempts]container.Handle
+	liveCount int
+	// Tried are the replicas of all attempts so far; attempts of them.
+	tried    [mostAttempts]*replica.State
+	attempts int
+	by       ident.ReplicaID
+	result   []byte
+	below    []ident.ShardID
+}
+
+func (p *part) settled() bool { return p.state == covered || p.state == missing }
+
+func (p *part) drop(h container.Handle) {
+	for i := range p.liveCount {
+		if p.live[i] == h {
+			p.liveCount--
+			p.live[i] = p.live[p.liveCount]
+			return
+		}
+	}
+}
+
+type attempt struct {
+	query   container.Handle
+	part    int
+	replica *replica.State
+	svc     *service
+	shard   *shard
+	sent    ident.Instant
+	// Asked is the snapshot asked for; 0 for the newest that the replica holds.
+	asked ident.SnapshotID
+}
+
+// A query is one request in progress.
+type query struct {
+	handle   container.Handle
+	arrival  Arrival
+	svc      *service
+	preset   *preset.Preset
+	rank     int
+	started  ident.Instant
+	deadline ident.Instant
+	wanted   ident.Share
+	// Pinned is the one snapshot of all parts; it changes only in restart.
+	pinned snapshot.Map
+	at     ident.SnapshotID
+	parts  []part
+	// Unsettled and coveredCount count parts.
+	unsettled, coveredCount int
+	firsts, extra           int
+	fingerprint             poison.Fingerprint
+	// Canary is the part whose retry tells whether this request crashes
+	// upstreams; -1 without one. Crashes counts rounds of lost upstreams.
+	canary    int
+	crashes   int
+	restarted bool
+	admitted  bool
+	answered  bool
+	// Dispatched is true once the ledger allowed a booking to be sent.
+	dispatched bool
+	// Joined are later sends of the same key that wait for this one.
+	joined []ident.QueryID
+}
+
+func (q *query) live() bool {
+	for i := range q.parts {
+		if q.parts[i].liveCount > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *query) reset() {
+	parts, joined := q.parts[:0], q.joined[:0]
+	clear(q.parts)
+	*q = query{parts: parts, joined: joined, canary: -1}
+}
+
+func (c *Core) newQuery(now ident.Instant, a Arrival) *query {
+	var q *query
+	if n := len(c.spare); n > 0 {
+		q = c.spare[n-1]
+		c.spare = c.spare[:n-1]
+	} else {
+		q = &query{canary: -1}
+	}
+	q.arrival, q.started = a, now
+	return q
+}
--- /dev/null
+++ b/node/search.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"carawaycross.example/carawaycross/admission"
+	"carawaycross.example/carawaycross/booking"
+	"carawaycross.example/carawaycross/coverage"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/snapshot"
+)
+
+func (c *Core) startSearch(now ident.Instant, q *query) {
+	at, m := q.svc.choose(now)
+	if m == nil {
+		c.refuse(now, q, booking.NotRun, admission.NoService, "the service has no shard map")
+		return
+	}
+	c.pin(q, at, m)
+	c.startParts(now, q)
+}
+
+func (c *Core) pin(q *query, at ident.SnapshotID, m *snapshot.Map) {
+	q.at, q.pinned = at, *m
+	clear(q.parts)
+	q.parts = q.parts[:0]
+	for _, id := range m.Shards {
+		q.parts = append(q.parts, part{shard: q.svc.shards[id]})
+	}
+	q.unsettled, q.coveredCount = len(q.parts), 0
+}
+
+// startParts sends the first attempt of each part. The last part to settle may
+// answer the query.
+func (c *Core) startParts(now ident.Instant, q *query) {
+	h := q.handle
+	for i := range q.parts {
+		c.first(now, q, i)
+		if c.queries.Get(h) == nil {
+			return
+		}
+	}
+	c.armHedge(now, q)
+}
+
+// hedge sends a second attempt for parts that take longer than most.
+func (c *Core) hedge(now ident.Instant, q *query) {
+	if q.answered || q.arrival.Key != "" {
+		return
+	}
+	for i := range q.parts {
+		p := &q.parts[i]
+		if p.state != open || p.liveCount == 0 || p.attempts >= q.preset.AttemptsPerShard {
+			continue
+		}
+		r := c.choose(now, q, p, false)
+		if r == nil || !c.spend(now, q, true) {
+			continue
+		}
+		q.extra++
+		c.send(now, q, i, r)
+	}
+	c.armHedge(now, q)
+}
+
+func (c *Core) armHedge(now ident.Instant, q *query) {
+	delay := c.policies.HedgeDelay.Decide(HedgeQuestion{
+		Now: now, Latency: &q.svc.latency, Quantile: q.preset.HedgeQuantile,
+	})
+	if at := now.Add(delay); delay > 0 && at < q.deadline {
+		c.timers.Add(at, timer{kind: hedgeTimer, query: q.handle})
+	}
+}
+
+// settle ends a part and answers the query when nothing more is wanted.
+func (c *Core) settle(now ident.Instant, q *query, i int, s partState, reason coverage.Reason) {
+	p := &q.parts[i]
+	if p.settled() {
+		return
+	}
+	c.abortPart(now, q, i)
+	p.state, p.reason = s, reason
+	q.unsettled--
+	if s == covered {
+		q.coveredCount++
+	}
+	if q.arrival.Key != "" || q.answered {
+		return
+	}
+	enough := float64(q.coveredCount) >= float64(q.wanted)*float64(len(q.parts))
+	if q.unsettled == 0 || (enough && q.coveredCount > 0) {
+		c.finishSearch(now, q)
+	}
+}
+
+// finishSearch answers with the parts that have come.
+func (c *Core) finishSearch(now ident.Instant, q *query) {
+	if q.canary >= 0 && q.parts[q.canary].attempts > 1 {
+		c.crashed(now, q)
+	}
+	a := &Answer{Snapshot: q.at, Map: q.pinned.Version}
+	a.Parts = make([]Part, 0, q.coveredCount)
+	a.Coverage.Covered = make([]ident.ShardID, 0, q.coveredCount)
+	for i := range q.parts {
+		p := &q.parts[i]
+		id := q.pinned.Shards[i]
+		if p.state != covered {
+			a.Coverage.Missing = append(a.Coverage.Missing, coverage.Missing{Shard: id, Reason: p.whyMissing()})
+			continue
+		}
+		a.Parts = append(a.Parts, Part{Shard: id, Replica: p.by, Result: p.result})
+		a.Coverage.Covered = append(a.Coverage.Covered, id)
+		for _, below := range p.below {
+			a.Coverage.Missing = append(a.Coverage.Missing, coverage.Missing{Shard: below, Reason: coverage.Below})
+		}
+	}
+	if len(q.parts) > 0 && a.Coverage.Share() < q.preset.LeastCoverage {
+		a.Refusal = &Refusal{Outcome: booking.MayHaveRun, Reason: "coverage-too-low"}
+		if q.firsts == 0 {
+			a.Refusal.Outcome = booking.NotRun
+		}
+	}
+	c.finish(now, q, a)
+}
+
+func (p *part) whyMissing() coverage.Reason {
+	if p.state == missing {
+		return p.reason
+	}
+	if p.state == waiting {
+		return coverage.Overload
+	}
+	return coverage.Late
+}
+
+// restart begins the search again at a newer snapshot after the pinned one is
+// gone from a shard, once per query and only while time is left. Parts of the
+// old snapshot are dropped: an answer never mixes two.
+func (c *Core) restart(now ident.Instant, q *query) bool {
+	at, m := q.svc.choose(now)
+	median := q.svc.latency.Median(now)
+	if q.restarted || m == nil || at == 0 || at == q.at || q.deadline.Sub(now) < 2*median {
+		return false
+	}
+	q.restarted = true
+	for i := range q.parts {
+		c.abortPart(now, q, i)
+	}
+	q.extra += q.firsts
+	q.firsts = 0
+	q.canary = -1
+	c.pin(q, at, m)
+	c.startParts(now, q)
+	return true
+}
--- /dev/null
+++ b/node/service.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"carawaycross.example/carawaycross/container"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/retry"
+	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/view"
+)
+
+// A waiter is a part that waits for a free place at its shard.
+type waiter struct {
+	query container.Handle
+	part  int
+}
+
+type shard struct {
+	replica.Shard
+	waiting *container.Queue[waiter]
+	// Waking is true while a wake timer of the shard is pending.
+	waking bool
+}
+
+type service struct {
+	id      ident.ServiceID
+	maps    snapshot.Maps
+	shards  map[ident.ShardID]*shard
+	latency retry.Latency
+	// Budgets are indexed by the class's rank.
+	budgets []retry.Budget
+	// Pinned caches the choice of snapshot until evidence changes.
+	pinned    ident.SnapshotID
+	pinnedMap *snapshot.Map
+	stale     bool
+	ranges    []snapshot.Range
+}
+
+func newService(id ident.ServiceID) *service {
+	return &service{id: id, shards: map[ident.ShardID]*shard{}, stale: true}
+}
+
+// choose returns the snapshot for a new query and its shard map. While nothing
+// is known of snapshots it returns 0 and the newest map.
+func (s *service) choose(now ident.Instant) (ident.SnapshotID, *snapshot.Map) {
+	if s.stale {
+		s.pinned, s.pinnedMap = snapshot.Choose(s.maps, func(id ident.ShardID) []snapshot.Range {
+			s.ranges = s.ranges[:0]
+			if sh := s.shards[id]; sh != nil {
+				s.ranges = sh.Held(now, s.ranges)
+			}
+			return append([]snapshot.Range(nil), s.ranges...)
+		})
+		s.stale = false
+	}
+	if s.pinnedMap == nil {
+		return 0, s.maps.Newest()
+	}
+	return s.pinned, s.pinnedMap
+}
+
+// install brings the service in line with control's view.
+func (s *service) install(now ident.Instant, v *view.View, vs *view.Service) {
+	s.maps = vs.Maps
+	s.stale = true
+	if n := len(v.Preset.Classes); len(s.budgets) != n {
+		s.budgets = make([]retry.Budget, max(n, 1))
+	}
+	known := map[ident.ReplicaID]*replica.State{}
+	for _, sh := range s.shards {
+		for _, r := range sh.Replicas {
+			known[r.ID] = r
+		}
+		sh.Replicas = sh.Replicas[:0]
+	}
+	for i := range vs.Replicas {
+		vr := &vs.Replicas[i]
+		r := known[vr.ID]
+		if r == nil {
+			r = &replica.State{ID: vr.ID}
+		}
+		s.update(now, v, vs, vr, r)
+		sh := s.shard(vr.Shard, v.Preset.QueueLength, len(v.Preset.Classes))
+		sh.Replicas = append(sh.Replicas, r)
+	}
+}
+
+func (s *service) update(now ident.Instant, v *view.View, vs *view.Service, vr *view.Replica, r *replica.State) {
+	r.Shard, r.Zone, r.Address = vr.Shard, vr.Zone, vr.Address
+	r.Local = vr.Zone == v.Zone
+	returned := r.Out && !vr.Out
+	r.Out = vr.Out
+	r.Shares = replica.Shares{
+		Slots: vs.Slots, Connections: vs.Connections,
+		VMs: v.VMs, Rank: vr.Rank, RampStep: v.Preset.RampStep,
+	}
+	if vr.Leaving {
+		r.Leave(now)
+	} else {
+		r.Return(now)
+	}
+	if returned {
+		r.Restart(now)
+	}
+	if vr.ColdMark != 0 {
+		r.Chill(now, vr.ColdMark)
+	}
+}
+
+func (s *service) shard(id ident.ShardID, queueLength, ranks int) *shard {
+	sh := s.shards[id]
+	if sh == nil {
+		sh = &shard{
+			Shard:   replica.Shard{ID: id},
+			waiting: container.NewQueue[waiter](queueLength, ranks),
+		}
+		s.shards[id] = sh
+	}
+	sh.waiting.Resize(queueLength, ranks)
+	return sh
+}
+
+func (s *service) budget(rank int) *retry.Budget {
+	return &s.budgets[min(rank, len(s.budgets)-1)]
+}
--- /dev/null
+++ b/poison/poison.go
@@ -0,0 +1,78 @@
+// Package poison recognises a request that crashes the upstreams that run it.
+package poison
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carawaycross.example/carawaycross/ident"
+)
+
+// A Fingerprint identifies the content of a request, whatever its key.
+type Fingerprint uint64
+
+// Of returns the fingerprint of a request to a service.
+func Of(service ident.ServiceID, body []byte) Fingerprint {
+	d := xxhash.New()
+	// Writes to a digest cannot fail.
+	_, _ = d.WriteString(string(service))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(body)
+	return Fingerprint(d.Sum64())
+}
+
+const (
+	// Threshold is the number of crashes after which a request is refused.
+	Threshold = 2
+	// RefusedFor is how long the request is refused after its last crash.
+	RefusedFor  = time.Minute
+	mostSuspect = 10_000
+)
+
+type suspect struct {
+	crashes int
+	until   ident.Instant
+}
+
+// A Register counts crashes by request. The zero value is empty and ready.
+type Register struct {
+	// Suspects has at most mostSuspect entries; expired ones go first.
+	suspects map[Fingerprint]suspect
+}
+
+// Crash counts crashes at now and reports whether the request is refused from
+// now on.
+func (r *Register) Crash(now ident.Instant, f Fingerprint, crashes int) bool {
+	if r.suspects == nil {
+		r.suspects = map[Fingerprint]suspect{}
+	}
+	if len(r.suspects) >= mostSuspect {
+		r.expire(now)
+	}
+	s := r.suspects[f]
+	if s.until < now {
+		s.crashes = 0
+	}
+	s.crashes += crashes
+	s.until = now.Add(RefusedFor)
+	r.suspects[f] = s
+	return s.crashes >= Threshold
+}
+
+func (r *Register) expire(now ident.Instant) {
+	for f, s := range r.suspects {
+		if s.until < now {
+			delete(r.suspects, f)
+		}
+	}
+}
+
+// Refused returns how long the request is still refused; 0 when it is not.
+func (r *Register) Refused(now ident.Instant, f Fingerprint) time.Duration {
+	s, ok := r.suspects[f]
+	if !ok || s.crashes < Threshold || s.until <= now {
+		return 0
+	}
+	return s.until.Sub(now)
+}
--- /dev/null
+++ b/replica/choice.go
@@ -0,0 +1,120 @@
+package replica
+
+import (
+	"time"
+
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/policy"
+)
+
+// A Random is an injected source of random numbers.
+type Random interface {
+	// IntN returns a number from 0 to n-1; n is at least 1.
+	IntN(n int) int
+}
+
+// A Selection is the input of a choice of replica.
+type Selection struct {
+	Now      ident.Instant
+	Shard    *Shard
+	Snapshot ident.SnapshotID
+	// Tried replicas are passed over.
+	Tried  []*State
+	Random Random
+}
+
+// Eligible reports whether r may take the attempt now.
+func (in *Selection) Eligible(r *State) bool {
+	return r.Spare(in.Now) && in.Holds(r) && !in.tried(r)
+}
+
+// Holds reports whether r may hold the snapshot; 0 asks for none.
+func (in *Selection) Holds(r *State) bool {
+	return in.Snapshot == 0 || r.Held.Holds(in.Snapshot)
+}
+
+func (in *Selection) tried(r *State) bool {
+	for _, t := range in.Tried {
+		if t == r {
+			return true
+		}
+	}
+	return false
+}
+
+// A Choice picks a replica for an attempt, or nil when none is eligible.
+type Choice = policy.Policy[*Selection, *State]
+
+// TwoChoices compares two random replicas of the own zone and two of the other
+// zones by expected delay. Another zone wins only when the own one is loaded
+// or slow. After Mitzenmacher, "The Power of Two Choices in Randomized Load
+// Balancing".
+type TwoChoices struct{}
+
+// Decide picks the better of the sampled replicas.
+func (TwoChoices) Decide(in *Selection) *State {
+	local := sample(in, true)
+	remote := sample(in, false)
+	if local == nil {
+		return remote
+	}
+	if remote != nil && score(remote)*3/2+crossZoneDelay < score(local) {
+		return remote
+	}
+	return local
+}
+
+// sample returns the better of two random eligible replicas, in the own zone
+// or outside it.
+func sample(in *Selection, local bool) *State {
+	var first, second *State
+	n := 0
+	for _, r := range in.Shard.Replicas {
+		if r.Local != local || !in.Eligible(r) {
+			continue
+		}
+		n++
+		switch {
+		case n == 1:
+			first = r
+		case n == 2:
+			second = r
+		case in.Random.IntN(n) < 2:
+			if in.Random.IntN(2) == 0 {
+				first = r
+			} else {
+				second = r
+			}
+		}
+	}
+	if second != nil && score(second) < score(first) {
+		return second
+	}
+	return first
+}
+
+// score is the expected delay of one more attempt.
+func score(r *State) time.Duration {
+	if r.latency == 0 {
+		return time.Duration(int(r.ReportedLoad)+r.InFlight) * time.Millisecond
+	}
+	return r.latency * time.Duration(r.InFlight+1)
+}
+
+// AnyReplica picks a random eligible replica; it is the baseline.
+type AnyReplica struct{}
+
+// Decide picks a random eligible replica.
+func (AnyReplica) Decide(in *Selection) *State {
+	var chosen *State
+	n := 0
+	for _, r := range in.Shard.Replicas {
+		if in.Eligible(r) {
+			n++
+			if in.Random.IntN(n) == 0 {
+				chosen = r
+			}
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/replica/limit.go
@@ -0,0 +1,80 @@
+package replica
+
+import (
+	"time"
+
+	"carawaycross.example/carawaycross/ident"
+)
+
+// Shares are one VM's part of what a replica bears, summed over all VMs that
+// may still be sending to it.
+type Shares struct {
+	// Slots and Connections are the replica's own totals.
+	Slots, Connections int
+	// VMs counts the VMs that may be sending, this one included; at least 1.
+	VMs int
+	// Rank is this VM's place in the replica's rendezvous order, 0 to VMs-1.
+	Rank int
+	// RampStep is the time between two steps of the ramp.
+	RampStep time.Duration
+}
+
+// ConnectionShare returns the connections that this VM may hold: an equal part,
+// with one more part left for a VM that is being replaced.
+func (s Shares) ConnectionShare() int {
+	return max(1, s.Connections/(max(s.VMs, 1)+1))
+}
+
+// RampShare returns this VM's part of a total concurrency of stage: the parts
+// of all ranks sum to stage.
+func (s Shares) RampShare(stage int) int {
+	n := max(s.VMs, 1)
+	if stage <= s.Rank {
+		return 0
+	}
+	return (stage-s.Rank-1)/n + 1
+}
+
+// stage returns the total concurrency that a cold replica bears now, from 1.
+func (s *State) stage(now ident.Instant) int {
+	step := max(s.Shares.RampStep, time.Millisecond)
+	return 1 + int(now.Sub(s.since)/step)
+}
+
+// Limit returns the attempts that this VM may have in flight at the replica.
+func (s *State) Limit(now ident.Instant) int {
+	limit := min(int(s.adaptive()), s.Shares.ConnectionShare())
+	if s.Condition(now) == Cold {
+		return min(limit, s.Shares.RampShare(s.stage(now)))
+	}
+	return limit
+}
+
+// Capacity returns the concurrency that the VM may count on while the replica
+// is usable; 0 while it is not.
+func (s *State) Capacity(now ident.Instant) int {
+	if !s.Usable(now) {
+		return 0
+	}
+	return s.Limit(now)
+}
+
+func (s *State) initialLimit() float64 {
+	return max(1, float64(s.Shares.Slots)/float64(max(s.Shares.VMs, 1)))
+}
+
+func (s *State) adaptive() float64 {
+	if s.limit == 0 {
+		s.limit = s.initialLimit()
+	}
+	return s.limit
+}
+
+// grow raises the limit by one per round of successes while it is in use. It
+// stops at the replica's own slots: work beyond them only waits there.
+func (s *State) grow() {
+	limit := s.adaptive()
+	if float64(s.InFlight)+1 >= limit {
+		s.limit = min(limit+1/limit, float64(max(s.Shares.Slots, 1)))
+	}
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,253 @@
+// Package replica decides what one VM sends to each replica of a shard: its
+// condition, its limits, its share of a cold start, and which replica of a
+// shard is chosen next.
+package replica
+
+import (
+	"time"
+
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/snapshot"
+)
+
+// A Condition is what a VM believes of a replica.
+type Condition uint8
+
+// The conditions of a replica. The zero value is Warm.
+const (
+	// Warm takes work up to its limits.
+	Warm Condition = iota
+	// Cold takes only this VM's part of a ramp.
+	Cold
+	// Ejected takes nothing until its interval ends; then it turns Cold.
+	Ejected
+	// Lost could not be reached; after an interval it turns Cold.
+	Lost
+	// Leaving takes nothing more.
+	Leaving
+)
+
+// String returns the name of the condition in kebab case.
+func (c Condition) String() string {
+	return [...]string{"warm", "cold", "ejected", "lost", "leaving"}[c]
+}
+
+// An Outcome is how an attempt ended, as this VM saw it.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	// OK ran and returned a result.
+	OK Outcome = iota
+	// Shed was refused before it ran.
+	Shed
+	// RefusedCold was refused before it ran, since the replica is cold.
+	RefusedCold
+	// Draining was refused before it ran, since the replica is leaving.
+	Draining
+	// Gone was refused before it ran, since the snapshot is not held.
+	Gone
+	// Unsent never left this VM: no connection could be made.
+	Unsent
+	// Broken lost its connection after it was sent; it may have run.
+	Broken
+	// Failed ran and returned an error.
+	Failed
+	// Aborted was cancelled by this VM; it may have run.
+	Aborted
+)
+
+// NotRun reports whether the replica surely did not run the attempt.
+func (o Outcome) NotRun() bool { return o >= Shed && o <= Unsent }
+
+// String returns the name of the outcome in kebab case.
+func (o Outcome) String() string {
+	return [...]string{
+		"ok", "shed", "refused-cold", "draining", "gone",
+		"unsent", "broken", "failed", "aborted",
+	}[o]
+}
+
+const (
+	latencyWeight  = 0.2
+	slowFactor     = 4
+	slowMargin     = 5 * time.Millisecond
+	slowInRow      = 3
+	firstEjection  = time.Second
+	longestEject   = 30 * time.Second
+	firstLost      = 250 * time.Millisecond
+	longestLost    = 4 * time.Second
+	leaveHold      = 10 * time.Second
+	limitDecrease  = 0.7
+	healthySpan    = 30 * time.Second
+	crossZoneDelay = 2 * time.Millisecond
+)
+
+// A State is one VM's evidence about one replica.
+type State struct {
+	ID      ident.ReplicaID
+	Shard   ident.ShardID
+	Zone    ident.ZoneID
+	Address string
+	// Local is true in the VM's own zone.
+	Local bool
+	// Held is the range of snapshots last told by the replica itself.
+	Held snapshot.Range
+	// InFlight counts attempts sent and not ended; never above Limit when one
+	// is sent.
+	InFlight int
+	// Shares are this VM's part of what the replica bears.
+	Shares Shares
+	// ReportedLoad is the replica's own word; used only without own evidence.
+	ReportedLoad uint32
+	// Out is true while operators keep the replica's zone or VM out.
+	Out bool
+
+	condition Condition
+	// Since is when the condition began; until is when it ends by itself.
+	since, until ident.Instant
+	// Pause is the last interval of ejection or loss; it doubles on a repeat.
+	pause time.Duration
+	// Limit is the adaptive concurrency; 0 takes the initial share.
+	limit    float64
+	latency  time.Duration
+	slow     int
+	coldMark uint64
+}
+
+// Condition returns the condition at now, after ended intervals took effect.
+func (s *State) Condition(now ident.Instant) Condition {
+	switch s.condition {
+	case Ejected, Lost:
+		if now >= s.until {
+			s.enter(Cold, now)
+		}
+	case Cold:
+		if s.stage(now) > s.Shares.Slots {
+			s.enter(Warm, now)
+			s.limit = s.initialLimit()
+		}
+	}
+	return s.condition
+}
+
+func (s *State) enter(c Condition, now ident.Instant) {
+	s.condition, s.since, s.slow = c, now, 0
+}
+
+// Usable reports whether new work may go to the replica at all.
+func (s *State) Usable(now ident.Instant) bool {
+	c := s.Condition(now)
+	return !s.Out && (c == Warm || c == Cold)
+}
+
+// Spare reports whether one more attempt is within the limits.
+func (s *State) Spare(now ident.Instant) bool {
+	return s.Usable(now) && s.InFlight < s.Limit(now)
+}
+
+// Latency returns the moving average of the latency; 0 without evidence.
+func (s *State) Latency() time.Duration { return s.latency }
+
+// Leave marks the replica as leaving, on any word that it is.
+func (s *State) Leave(now ident.Instant) {
+	if s.condition != Leaving {
+		s.enter(Leaving, now)
+	}
+}
+
+// Return ends Leaving when no word of it is left and the last one is leaveHold
+// old: the replica starts again and is cold.
+func (s *State) Return(now ident.Instant) {
+	if s.condition == Leaving && now.Sub(s.since) >= leaveHold {
+		s.enter(Cold, now)
+	}
+}
+
+// Chill starts the ramp of a replica that is told to be cold. Mark identifies
+// the evidence; the same mark starts only one ramp.
+func (s *State) Chill(now ident.Instant, mark uint64) {
+	if mark == s.coldMark || s.condition == Leaving {
+		return
+	}
+	s.coldMark = mark
+	s.enter(Cold, now)
+}
+
+// Restart begins a ramp: the replica comes back into use after it was out.
+func (s *State) Restart(now ident.Instant) {
+	if s.condition != Leaving {
+		s.enter(Cold, now)
+	}
+}
+
+// A Sample is the evidence of one ended attempt.
+type Sample struct {
+	Outcome Outcome
+	// Took is the time from sending to the end.
+	Took time.Duration
+	// Typical is the median latency of the service; 0 while unknown.
+	Typical time.Duration
+	// MayEject is true when the shard can do without this replica.
+	MayEject bool
+}
+
+// Observe takes the evidence of an attempt that ended at now, and reports
+// whether the condition changed.
+func (s *State) Observe(now ident.Instant, m Sample) bool {
+	before := s.Condition(now)
+	switch m.Outcome {
+	case OK, Failed:
+		s.observeLatency(now, m)
+	case Aborted:
+		if s.isSlow(m) {
+			s.observeLatency(now, m)
+		}
+	case Shed:
+		s.limit = max(1, s.adaptive()*limitDecrease)
+	case RefusedCold:
+		if before != Leaving {
+			s.enter(Cold, now)
+		}
+	case Draining:
+		s.Leave(now)
+	case Unsent, Broken:
+		if before != Leaving && before != Lost {
+			s.pauseFor(Lost, now, firstLost, longestLost)
+		}
+	case Gone:
+	}
+	return s.condition != before
+}
+
+func (s *State) observeLatency(now ident.Instant, m Sample) {
+	if s.latency == 0 {
+		s.latency = m.Took
+	}
+	s.latency += time.Duration(latencyWeight * float64(m.Took-s.latency))
+	if !s.isSlow(m) {
+		s.slow = 0
+		s.grow()
+		return
+	}
+	s.slow++
+	if s.slow >= slowInRow && m.MayEject && (s.condition == Warm || s.condition == Cold) {
+		s.pauseFor(Ejected, now, firstEjection, longestEject)
+		s.latency = 0
+	}
+}
+
+func (s *State) isSlow(m Sample) bool {
+	return m.Typical > 0 && m.Took > slowFactor*m.Typical+slowMargin
+}
+
+// pauseFor enters c for an interval that doubles when the last one was recent.
+func (s *State) pauseFor(c Condition, now ident.Instant, first, longest time.Duration) {
+	if s.pause == 0 || now.Sub(s.until) > healthySpan {
+		s.pause = first
+	} else {
+		s.pause = min(max(2*s.pause, first), longest)
+	}
+	s.enter(c, now)
+	s.until = now.Add(s.pause)
+}
--- /dev/null
+++ b/replica/shard.go
@@ -0,0 +1,72 @@
+package replica
+
+import (
+	"time"
+
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/snapshot"
+)
+
+// A Shard is the replicas of one shard.
+type Shard struct {
+	ID ident.ShardID
+	// Replicas have distinct IDs and all serve this shard.
+	Replicas []*State
+}
+
+// MayEject reports whether the shard can do without r: at least one other
+// replica stays usable and at most half of all are ejected.
+func (s *Shard) MayEject(now ident.Instant, r *State) bool {
+	ejected, others := 1, 0
+	for _, o := range s.Replicas {
+		if o == r {
+			continue
+		}
+		if o.Usable(now) {
+			others++
+		}
+		if o.condition == Ejected {
+			ejected++
+		}
+	}
+	return others > 0 && 2*ejected <= len(s.Replicas)+1
+}
+
+// Usable returns the number of replicas that may get new work.
+func (s *Shard) Usable(now ident.Instant) int {
+	n := 0
+	for _, r := range s.Replicas {
+		if r.Usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Capacity returns the concurrency of all usable replicas together.
+func (s *Shard) Capacity(now ident.Instant) int {
+	n := 0
+	for _, r := range s.Replicas {
+		n += r.Capacity(now)
+	}
+	return n
+}
+
+// Held appends the snapshot ranges of the usable replicas to buf.
+func (s *Shard) Held(now ident.Instant, buf []snapshot.Range) []snapshot.Range {
+	for _, r := range s.Replicas {
+		if r.Usable(now) && r.Held.Known() {
+			buf = append(buf, r.Held)
+		}
+	}
+	return buf
+}
+
+// Wait estimates how long an attempt waits behind ahead others.
+func (s *Shard) Wait(now ident.Instant, ahead int, typical time.Duration) time.Duration {
+	capacity := s.Capacity(now)
+	if capacity == 0 {
+		return typical
+	}
+	return time.Duration(ahead) * typical / time.Duration(capacity)
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,71 @@
+// Package retry bounds and times the extra attempts of a query: hedges, and
+// retries of attempts that failed.
+package retry
+
+import (
+	"time"
+
+	"carawaycross.example/carawaycross/container"
+	"carawaycross.example/carawaycross/ident"
+)
+
+const (
+	// budgetCap bounds the attempts saved up in either part of a budget.
+	budgetCap = 50
+	// overloadShare of sheds stops every extra attempt.
+	overloadShare = 0.2
+	shedSpan      = 2 * time.Second
+)
+
+// A Budget bounds extra attempts to a share of the first ones. The zero value
+// has no attempts saved up. Hedges and retries spend the same part; retries of
+// failed attempts may spend a second part, which hedges cannot.
+type Budget struct {
+	// Shared and reserve are saved attempts, from 0 to budgetCap.
+	shared, reserve float64
+	firsts, sheds   container.Window[float64]
+}
+
+// First earns for one first attempt.
+func (b *Budget) First(now ident.Instant, share, faultShare ident.Share) {
+	b.firsts.Span, b.sheds.Span = shedSpan, shedSpan
+	b.firsts.Add(now, 1)
+	room := 1 - b.Overload(now)
+	b.shared = min(b.shared+float64(share)*room, budgetCap)
+	b.reserve = min(b.reserve+float64(faultShare-share)*room, budgetCap)
+}
+
+// Shed counts an attempt that an upstream refused for load.
+func (b *Budget) Shed(now ident.Instant) {
+	b.sheds.Span = shedSpan
+	b.sheds.Add(now, 1)
+}
+
+// Overload returns how far sheds have shrunk the budget: 0 for not at all, 1
+// for no extra attempts.
+func (b *Budget) Overload(now ident.Instant) float64 {
+	firsts := b.firsts.Sum(now)
+	if firsts == 0 {
+		return 0
+	}
+	return min(b.sheds.Sum(now)/firsts/overloadShare, 1)
+}
+
+// Hedge spends for a hedge and reports whether it may start.
+func (b *Budget) Hedge(now ident.Instant) bool {
+	return b.Overload(now) < 1 && spend(&b.shared)
+}
+
+// Retry spends for a retry of a failed attempt and reports whether it may
+// start.
+func (b *Budget) Retry(now ident.Instant) bool {
+	return b.Overload(now) < 1 && (spend(&b.reserve) || spend(&b.shared))
+}
+
+func spend(part *float64) bool {
+	if *part < 1 {
+		return false
+	}
+	*part--
+	return true
+}
--- /dev/null
+++ b/retry/latency.go
@@ -0,0 +1,74 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"carawaycross.example/carawaycross/ident"
+)
+
+const (
+	longestTracked = 60 * time.Second
+	latencyDigits  = 2
+	latencySpan    = 5 * time.Second
+	refreshAfter   = 50 * time.Millisecond
+	leastSamples   = 50
+)
+
+// A Latency follows the quantiles of recent latencies. The zero value is
+// ready. Memory is fixed; quantiles are refreshed a few times a second.
+type Latency struct {
+	// Current and previous cover adjacent spans; older samples are dropped.
+	current, previous *hdrhistogram.Histogram
+	turned, refreshed ident.Instant
+	quantile          ident.Share
+	median, delay     time.Duration
+}
+
+// Record adds one latency.
+func (l *Latency) Record(now ident.Instant, took time.Duration) {
+	if l.current == nil {
+		l.current, l.previous = newHistogram(), newHistogram()
+		l.turned = now
+	}
+	if now.Sub(l.turned) > latencySpan {
+		l.current, l.previous = l.previous, l.current
+		l.current.Reset()
+		l.turned = now
+	}
+	// A value beyond the histogram's range is recorded at its end.
+	_ = l.current.RecordValue(int64(min(took, longestTracked) / time.Microsecond))
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(longestTracked/time.Microsecond), latencyDigits)
+}
+
+// Median returns the median; 0 while there are too few samples.
+func (l *Latency) Median(now ident.Instant) time.Duration {
+	l.refresh(now, l.quantile)
+	return l.median
+}
+
+// Quantile returns the latency at q; 0 while there are too few samples.
+func (l *Latency) Quantile(now ident.Instant, q ident.Share) time.Duration {
+	l.refresh(now, q)
+	return l.delay
+}
+
+func (l *Latency) refresh(now ident.Instant, q ident.Share) {
+	if l.current == nil || (now.Sub(l.refreshed) < refreshAfter && q == l.quantile) {
+		return
+	}
+	l.refreshed, l.quantile = now, q
+	h := l.current
+	if h.TotalCount() < leastSamples {
+		h = l.previous
+	}
+	if h.TotalCount() < leastSamples {
+		return
+	}
+	l.median = time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
+	l.delay = time.Duration(h.ValueAtQuantile(float64(q)*100)) * time.Microsecond
+}
