One whole path: caller, entry VM, upstreams, platform and back

The control goroutine publishes views through an atomic pointer, the lane's goroutine owns the traffic core, attempts run in goroutines of their own.

--- /dev/null
+++ b/carawaycross.go
@@ -0,0 +1,83 @@
+// Package carawaycross answers one search across many shards as if they were
+// one store.
+//
+// Serve runs an entry VM from a settings file. New assembles one from options,
+// for a program that embeds it. The decision cores in packages node and control
+// have no clock, transport or codec and can be driven by any front end; see
+// docs/EMBEDDING.md.
+package carawaycross
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rs/zerolog"
+
+	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/settings"
+	"carawaycross.example/carawaycross/vm"
+)
+
+// Version is the version of the product.
+const Version = "0.1.0"
+
+// An Option changes what New assembles.
+type Option func(*assembly)
+
+type assembly struct {
+	settings *settings.Settings
+	err      error
+	options  vm.Options
+}
+
+// WithSettings takes checked settings.
+func WithSettings(s *settings.Settings) Option {
+	return func(a *assembly) { a.settings = s }
+}
+
+// WithSettingsFile reads and checks a settings file.
+func WithSettingsFile(path string) Option {
+	return func(a *assembly) { a.settings, a.err = settings.Load(path) }
+}
+
+// WithPolicies replaces decisions of traffic; nil fields keep the defaults.
+func WithPolicies(p node.Policies) Option {
+	return func(a *assembly) { a.options.Policies = p }
+}
+
+// WithStore replaces the client of the platform's store.
+func WithStore(s platform.Store) Option {
+	return func(a *assembly) { a.options.Store = s }
+}
+
+// WithLog takes the logger of the VM's events; without it nothing is logged.
+func WithLog(l zerolog.Logger) Option {
+	return func(a *assembly) { a.options.Log = l }
+}
+
+// New starts an entry VM. It serves until its Stop or Close.
+func New(options ...Option) (*vm.VM, error) {
+	a := &assembly{options: vm.Options{Log: zerolog.Nop()}}
+	for _, o := range options {
+		o(a)
+	}
+	if a.err != nil {
+		return nil, a.err
+	}
+	if a.settings == nil {
+		return nil, &vm.Error{Op: "new", Kind: vm.CannotStart, Err: errors.New("no settings were given")}
+	}
+	return vm.Start(a.settings, a.options)
+}
+
+// Serve runs an entry VM from a settings file until the context is done, and
+// then stops it without cutting a request.
+func Serve(ctx context.Context, path string, options ...Option) error {
+	v, err := New(append([]Option{WithSettingsFile(path)}, options...)...)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return v.Stop(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/codec/config.go
@@ -0,0 +1,134 @@
+// Package codec converts between the typed values of the decision code and the
+// generated messages. No decision is made here.
+package codec
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"carawaycross.example/carawaycross/config"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/schema"
+)
+
+// Preset returns the typed preset.
+func Preset(m *schema.Preset) preset.Preset {
+	return preset.Preset{
+		Name:             ident.PresetName(m.GetName()),
+		DefaultDeadline:  m.GetDefaultDeadline().AsDuration(),
+		LongestDeadline:  m.GetLongestDeadline().AsDuration(),
+		WantedCoverage:   ident.Share(m.GetWantedCoverage()),
+		LeastCoverage:    ident.Share(m.GetLeastCoverage()),
+		ExtraShare:       ident.Share(m.GetExtraShare()),
+		FaultExtraShare:  ident.Share(m.GetFaultExtraShare()),
+		HedgeQuantile:    ident.Share(m.GetHedgeQuantile()),
+		AttemptsPerShard: int(m.GetAttemptsPerShard()),
+		RampStep:         m.GetRampStep().AsDuration(),
+		QueueLength:      int(m.GetQueueLength()),
+		QueriesInFlight:  int(m.GetQueriesInFlight()),
+		Classes:          cast[ident.ClassID](m.GetClasses()),
+	}
+}
+
+// PresetMessage returns the message of a preset.
+func PresetMessage(p *preset.Preset) *schema.Preset {
+	return &schema.Preset{
+		Name:             string(p.Name),
+		DefaultDeadline:  durationpb.New(p.DefaultDeadline),
+		LongestDeadline:  durationpb.New(p.LongestDeadline),
+		WantedCoverage:   float64(p.WantedCoverage),
+		LeastCoverage:    float64(p.LeastCoverage),
+		ExtraShare:       float64(p.ExtraShare),
+		FaultExtraShare:  float64(p.FaultExtraShare),
+		HedgeQuantile:    float64(p.HedgeQuantile),
+		AttemptsPerShard: uint32(p.AttemptsPerShard),
+		RampStep:         durationpb.New(p.RampStep),
+		QueueLength:      uint32(p.QueueLength),
+		QueriesInFlight:  uint32(p.QueriesInFlight),
+		Classes:          cast[string](p.Classes),
+	}
+}
+
+func cast[T, F ~string](from []F) []T {
+	if from == nil {
+		return nil
+	}
+	to := make([]T, len(from))
+	for i, v := range from {
+		to[i] = T(v)
+	}
+	return to
+}
+
+// Change returns the typed change.
+func Change(m *schema.Change) config.Change {
+	c := config.Change{
+		ID: config.ChangeID(m.GetId()), Version: ident.Version(m.GetVersion()),
+		Kind: config.ChangeKind(m.GetKind()), Subject: m.GetSubject(),
+		Who: m.GetWho(), Why: m.GetWhy(), Force: m.GetForce(),
+		At: ident.Instant(m.GetAtMs()) * ident.Instant(time.Millisecond),
+	}
+	if m.GetPreset() != nil {
+		c.Preset = Preset(m.GetPreset())
+	}
+	return c
+}
+
+// ChangeMessage returns the message of a change.
+func ChangeMessage(c *config.Change) *schema.Change {
+	m := &schema.Change{
+		Id: string(c.ID), Version: uint32(c.Version), Kind: string(c.Kind), Subject: c.Subject,
+		Who: c.Who, Why: c.Why, Force: c.Force, AtMs: int64(c.At) / int64(time.Millisecond),
+	}
+	if c.Kind == config.PutPreset {
+		m.Preset = PresetMessage(&c.Preset)
+	}
+	return m
+}
+
+// Configuration returns the typed configuration.
+func Configuration(m *schema.Configuration) config.Configuration {
+	c := config.Configuration{
+		Version: ident.Version(m.GetVersion()), InForce: ident.PresetName(m.GetInForce()),
+		ZonesOut: cast[ident.ZoneID](m.GetZonesOut()), VMsOut: m.GetVmsOut(),
+	}
+	for _, p := range m.GetPresets() {
+		c.Presets = append(c.Presets, Preset(p))
+	}
+	for _, ch := range m.GetHistory() {
+		c.History = append(c.History, Change(ch))
+	}
+	return c
+}
+
+// ConfigurationMessage returns the message of a configuration.
+func ConfigurationMessage(c *config.Configuration) *schema.Configuration {
+	m := &schema.Configuration{
+		Version: uint32(c.Version), InForce: string(c.InForce),
+		ZonesOut: cast[string](c.ZonesOut), VmsOut: c.VMsOut,
+	}
+	for i := range c.Presets {
+		m.Presets = append(m.Presets, PresetMessage(&c.Presets[i]))
+	}
+	for i := range c.History {
+		m.History = append(m.History, ChangeMessage(&c.History[i]))
+	}
+	return m
+}
+
+// MarshalConfiguration returns the stored form of a configuration.
+func MarshalConfiguration(c *config.Configuration) ([]byte, error) {
+	return proto.Marshal(ConfigurationMessage(c))
+}
+
+// UnmarshalConfiguration reads the stored form of a configuration.
+func UnmarshalConfiguration(b []byte) (config.Configuration, error) {
+	var m schema.Configuration
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return config.Configuration{}, err
+	}
+	return Configuration(&m), nil
+}
--- /dev/null
+++ b/door/body.go
@@ -0,0 +1,85 @@
+package door
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"carawaycross.example/carawaycross/booking"
+	"carawaycross.example/carawaycross/node"
+)
+
+// The content types of bodies.
+const (
+	JSON     = "application/json"
+	Protobuf = "application/x-protobuf"
+)
+
+// Read decodes a body by its content type.
+func Read(contentType string, body []byte, m proto.Message) error {
+	kind, _, err := mime.ParseMediaType(contentType)
+	if contentType != "" && err != nil {
+		return &Error{"read", BadRequest, err}
+	}
+	switch kind {
+	case Protobuf:
+		err = proto.Unmarshal(body, m)
+	case JSON, "":
+		err = protojson.Unmarshal(body, m)
+	default:
+		err = fmt.Errorf("content-type: found %q, allowed %s or %s", kind, JSON, Protobuf)
+	}
+	if err != nil {
+		return &Error{"read", BadRequest, err}
+	}
+	return nil
+}
+
+// read decodes the request's body, or answers why it cannot.
+func (d *Door) read(w http.ResponseWriter, r *http.Request, m proto.Message) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, LargestBody))
+	if err == nil {
+		err = Read(r.Header.Get("Content-Type"), body, m)
+	}
+	if err == nil {
+		return true
+	}
+	refusal := &node.Refusal{Outcome: booking.NotRun, Reason: badRequest, Detail: err.Error()}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		e := &Error{"read", TooLarge, fmt.Errorf("allowed: %d bytes", LargestBody)}
+		refusal.Detail = e.Error()
+	}
+	d.refuse(w, r, refusal)
+	return false
+}
+
+// write encodes an answer in the content type of the request, or in the first
+// one that its Accept header names.
+func (d *Door) write(w http.ResponseWriter, r *http.Request, status int, m proto.Message) {
+	kind, _, _ := mime.ParseMediaType(r.Header.Get("Accept"))
+	if kind != Protobuf && kind != JSON {
+		kind, _, _ = mime.ParseMediaType(r.Header.Get("Content-Type"))
+	}
+	var body []byte
+	var err error
+	if kind == Protobuf {
+		body, err = proto.Marshal(m)
+	} else {
+		kind = JSON
+		body, err = protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(m)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", kind)
+	w.WriteHeader(status)
+	// A lost connection is the caller's to notice.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,235 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"carawaycross.example/carawaycross/codec"
+	"carawaycross.example/carawaycross/schema"
+)
+
+const (
+	defaultStopWithin = 30 * time.Second
+	longestStopWithin = 10 * time.Minute
+	defaultTimeout    = 2 * time.Second
+	longestTimeout    = time.Minute
+	defaultRate       = 20
+	mostRate          = 500
+	mostSlots         = 1024
+	mostConnections   = 10_000
+	longestConnection = time.Second
+)
+
+// namePattern keeps names free of the dots that separate the fields of a ticket.
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+func (s *Settings) setDefaults() {
+	m := s.Message
+	m.Vm = orNew(m.Vm)
+	m.Platform = orNew(m.Platform)
+	m.Peers = orNew(m.Peers)
+	if m.Vm.StopWithin == nil {
+		m.Vm.StopWithin = durationpb.New(defaultStopWithin)
+	}
+	if m.Platform.Timeout == nil {
+		m.Platform.Timeout = durationpb.New(defaultTimeout)
+	}
+	if m.Platform.CallsPerSecond == 0 {
+		m.Platform.CallsPerSecond = defaultRate
+	}
+	if m.LogLevel == "" {
+		m.LogLevel = "info"
+	}
+	for _, service := range m.Services {
+		if len(service.ShardMaps) == 0 {
+			service.ShardMaps = []*schema.ShardMapSettings{{Version: 1, SinceSnapshot: 1, Shards: shardsOf(service)}}
+		}
+	}
+}
+
+func orNew[T any](m *T) *T {
+	if m == nil {
+		return new(T)
+	}
+	return m
+}
+
+func shardsOf(service *schema.ServiceSettings) []uint32 {
+	var shards []uint32
+	for _, r := range service.Replicas {
+		shards = append(shards, r.Shard)
+	}
+	slices.Sort(shards)
+	return slices.Compact(shards)
+}
+
+// A checker gathers what is wrong, each with its field's path.
+type checker struct {
+	bad []error
+}
+
+func (c *checker) add(path, format string, args ...any) {
+	c.bad = append(c.bad, fmt.Errorf("%s: %s", path, fmt.Sprintf(format, args...)))
+}
+
+func (c *checker) name(path, v string) {
+	if !namePattern.MatchString(v) {
+		c.add(path, "found %q, allowed: lower case letters, digits and hyphens, 1 to 63", v)
+	}
+}
+
+func (c *checker) address(path, v string) {
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		c.add(path, "found %q, allowed: IP:port", v)
+	}
+}
+
+func (c *checker) duration(path string, d *durationpb.Duration, low, high time.Duration) {
+	if v := d.AsDuration(); v < low || v > high {
+		c.add(path, "found %v, allowed %v to %v", v, low, high)
+	}
+}
+
+func (c *checker) oneOf(path, v string, allowed []string) {
+	if !slices.Contains(allowed, v) {
+		c.add(path, "found %q, allowed: %v", v, allowed)
+	}
+}
+
+func (c *checker) count(path string, v, low, high uint32) {
+	if v < low || v > high {
+		c.add(path, "found %d, allowed %d to %d", v, low, high)
+	}
+}
+
+func (s *Settings) check() []error {
+	m, c := s.Message, &checker{}
+	c.name("deployment", m.Deployment)
+	c.name("vm.name", m.Vm.Name)
+	c.oneOf("vm.zone", m.Vm.Zone, m.Zones)
+	c.address("vm.listen", m.Vm.Listen)
+	if m.Vm.Operators != "" {
+		c.address("vm.operators", m.Vm.Operators)
+	}
+	c.duration("vm.stop-within", m.Vm.StopWithin, time.Millisecond, longestStopWithin)
+	c.address("platform.address", m.Platform.Address)
+	c.duration("platform.timeout", m.Platform.Timeout, time.Millisecond, longestTimeout)
+	if r := m.Platform.CallsPerSecond; r < 0.1 || r > mostRate {
+		c.add("platform.calls-per-second", "found %v, allowed 0.1 to %d", r, mostRate)
+	}
+	c.oneOf("log-level", m.LogLevel, logLevels)
+	c.zones(m.Zones)
+	c.peers(m)
+	c.services(m)
+	c.presets(m)
+	return c.bad
+}
+
+func (c *checker) zones(zones []string) {
+	if len(zones) == 0 {
+		c.add("zones", "found none, at least one is needed")
+	}
+	for i, z := range zones {
+		path := fmt.Sprintf("zones[%d]", i)
+		c.name(path, z)
+		if slices.Index(zones, z) < i {
+			c.add(path, "found %q twice", z)
+		}
+	}
+}
+
+func (c *checker) peers(m *schema.Settings) {
+	p := m.Peers
+	if p.Listen == "" && len(p.Seeds) == 0 {
+		return
+	}
+	c.address("peers.listen", p.Listen)
+	for field, v := range map[string]string{
+		"peers.certificate": p.Certificate, "peers.key": p.Key, "peers.authority": p.Authority,
+	} {
+		if v == "" {
+			c.add(field, "found none, a file's path is needed")
+		}
+	}
+	for i, seed := range p.Seeds {
+		path := fmt.Sprintf("peers.seeds[%d]", i)
+		c.name(path+".vm", seed.Vm)
+		c.oneOf(path+".zone", seed.Zone, m.Zones)
+		c.address(path+".address", seed.Address)
+		if seed.Vm == m.Vm.Name {
+			c.add(path+".vm", "found %q, which is this VM", seed.Vm)
+		}
+	}
+}
+
+func (c *checker) services(m *schema.Settings) {
+	if len(m.Services) == 0 {
+		c.add("services", "found none, at least one is needed")
+	}
+	services, replicas := map[string]bool{}, map[string]bool{}
+	for i, s := range m.Services {
+		path := fmt.Sprintf("services[%d]", i)
+		c.name(path+".name", s.Name)
+		if services[s.Name] {
+			c.add(path+".name", "found %q twice", s.Name)
+		}
+		services[s.Name] = true
+		c.count(path+".slots", s.Slots, 1, mostSlots)
+		c.count(path+".connections", s.Connections, 1, mostConnections)
+		c.duration(path+".connection-cost", s.ConnectionCost, 0, longestConnection)
+		for j, r := range s.Replicas {
+			at := fmt.Sprintf("%s.replicas[%d]", path, j)
+			c.name(at+".name", r.Name)
+			c.oneOf(at+".zone", r.Zone, m.Zones)
+			c.address(at+".address", r.Address)
+			if replicas[r.Name] {
+				c.add(at+".name", "found %q twice", r.Name)
+			}
+			replicas[r.Name] = true
+		}
+		c.shardMaps(path, s)
+	}
+}
+
+func (c *checker) shardMaps(path string, s *schema.ServiceSettings) {
+	if !ShardMaps(s).Sorted() {
+		c.add(path+".shard-maps", "versions and since-snapshot must rise, and no map may repeat a shard")
+	}
+	served := shardsOf(s)
+	for i, sm := range s.ShardMaps {
+		for _, shard := range sm.Shards {
+			if !slices.Contains(served, shard) {
+				c.add(fmt.Sprintf("%s.shard-maps[%d].shards", path, i), "found %d, which no replica serves", shard)
+			}
+		}
+	}
+}
+
+func (c *checker) presets(m *schema.Settings) {
+	if len(m.Presets) == 0 {
+		return
+	}
+	seen := map[string]bool{}
+	for i, pm := range m.Presets {
+		path := fmt.Sprintf("presets[%d]", i)
+		if seen[pm.Name] {
+			c.add(path+".name", "found %q twice, presets need distinct names", pm.Name)
+		}
+		seen[pm.Name] = true
+		p := codec.Preset(pm)
+		if err := p.Check(); err != nil {
+			c.add(path, "%v", err)
+		}
+	}
+	if !seen[m.FirstPreset] {
+		c.add("first-preset", "found %q, allowed: the name of one of presets", m.FirstPreset)
+	}
+}
+
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,86 @@
+// Package settings reads and checks the settings file of one process.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"buf.build/go/protoyaml"
+	"google.golang.org/protobuf/proto"
+
+	"carawaycross.example/carawaycross/schema"
+)
+
+// A Kind classifies an Error.
+type Kind string
+
+// The kinds of Error.
+const (
+	// Unreadable means that the file could not be read.
+	Unreadable Kind = "unreadable"
+	// Syntax means that the file is not YAML of the settings' shape.
+	Syntax Kind = "syntax"
+	// Invalid means that a field's value is not allowed.
+	Invalid Kind = "invalid"
+)
+
+// An Error tells what is wrong with a settings file. For Invalid, Err joins one
+// error for each field: its path, what was found and what is allowed.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string {
+	return fmt.Sprintf("settings %s: %s:\n  %s", e.Op, e.Kind, strings.ReplaceAll(e.Err.Error(), "\n", "\n  "))
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Load reads and checks the settings of a file. Operation is the file's path.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{path, Unreadable, err}
+	}
+	return Parse(path, text)
+}
+
+// Parse reads and checks settings; path is used in errors.
+func Parse(path string, text []byte) (*Settings, error) {
+	var m schema.Settings
+	options := protoyaml.UnmarshalOptions{Path: path}
+	if err := options.Unmarshal(text, &m); err != nil {
+		return nil, &Error{path, Syntax, err}
+	}
+	return From(path, &m)
+}
+
+// From checks settings that are made in the program.
+func From(path string, m *schema.Settings) (*Settings, error) {
+	s := &Settings{Message: proto.Clone(m).(*schema.Settings)}
+	s.setDefaults()
+	if bad := s.check(); len(bad) > 0 {
+		return nil, &Error{path, Invalid, errors.Join(bad...)}
+	}
+	return s, nil
+}
+
+// ParsePreset reads one preset from YAML and checks its shape only.
+func ParsePreset(path string, text []byte) (*schema.Preset, error) {
+	var m schema.Preset
+	options := protoyaml.UnmarshalOptions{Path: path}
+	if err := options.Unmarshal(text, &m); err != nil {
+		return nil, &Error{path, Syntax, err}
+	}
+	return &m, nil
+}
+
+// Format returns settings in YAML.
+func Format(m *schema.Settings) ([]byte, error) {
+	return protoyaml.MarshalOptions{Indent: 2}.Marshal(m)
+}
--- /dev/null
+++ b/settings/typed.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"carawaycross.example/carawaycross/codec"
+	"carawaycross.example/carawaycross/config"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/roster"
+	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/view"
+)
+
+// Settings are checked settings.
+type Settings struct {
+	// Message is checked and has its defaults filled in; it is not written.
+	Message *schema.Settings
+}
+
+// Self returns this VM as a member of the roster.
+func (s *Settings) Self(incarnation ident.Incarnation) roster.Member {
+	return roster.Member{
+		VM: ident.VMID(s.Message.Vm.Name), Zone: ident.ZoneID(s.Message.Vm.Zone),
+		Address: s.Message.Peers.Listen, Incarnation: incarnation,
+	}
+}
+
+// Seeds returns the other VMs known from the start.
+func (s *Settings) Seeds() []roster.Member {
+	var out []roster.Member
+	for _, p := range s.Message.Peers.Seeds {
+		out = append(out, roster.Member{VM: ident.VMID(p.Vm), Zone: ident.ZoneID(p.Zone), Address: p.Address})
+	}
+	return out
+}
+
+// Services returns the catalogue of services and replicas.
+func (s *Settings) Services() []view.Service {
+	var out []view.Service
+	for _, m := range s.Message.Services {
+		service := view.Service{
+			ID: ident.ServiceID(m.Name), Slots: int(m.Slots), Connections: int(m.Connections), Maps: ShardMaps(m),
+		}
+		for _, r := range m.Replicas {
+			service.Replicas = append(service.Replicas, view.Replica{
+				ID: ident.ReplicaID(r.Name), Shard: ident.ShardID(r.Shard),
+				Zone: ident.ZoneID(r.Zone), Address: r.Address,
+			})
+		}
+		out = append(out, service)
+	}
+	return out
+}
+
+// ShardMaps returns a service's shard maps.
+func ShardMaps(m *schema.ServiceSettings) snapshot.Maps {
+	var maps snapshot.Maps
+	for _, sm := range m.ShardMaps {
+		one := snapshot.Map{Version: ident.MapVersion(sm.Version), Since: ident.SnapshotID(sm.SinceSnapshot)}
+		for _, shard := range sm.Shards {
+			one.Shards = append(one.Shards, ident.ShardID(shard))
+		}
+		maps = append(maps, one)
+	}
+	return maps
+}
+
+// Fleet returns what the deployment consists of, for capacity checks.
+func (s *Settings) Fleet() config.Fleet {
+	f := config.Fleet{VMs: []ident.VMID{ident.VMID(s.Message.Vm.Name)}}
+	for _, z := range s.Message.Zones {
+		f.Zones = append(f.Zones, ident.ZoneID(z))
+	}
+	for _, p := range s.Message.Peers.Seeds {
+		f.VMs = append(f.VMs, ident.VMID(p.Vm))
+	}
+	for _, m := range s.Message.Services {
+		for _, r := range m.Replicas {
+			f.Replicas = append(f.Replicas, config.FleetReplica{
+				Service: ident.ServiceID(m.Name), Shard: ident.ShardID(r.Shard),
+				ID: ident.ReplicaID(r.Name), Zone: ident.ZoneID(r.Zone), Slots: int(m.Slots),
+			})
+		}
+	}
+	return f
+}
+
+// First returns the first configuration, for a platform that holds none.
+func (s *Settings) First() (config.Configuration, error) {
+	if len(s.Message.Presets) == 0 {
+		p := preset.Ordinary()
+		return config.First([]preset.Preset{p}, p.Name)
+	}
+	var presets []preset.Preset
+	for _, m := range s.Message.Presets {
+		presets = append(presets, codec.Preset(m))
+	}
+	return config.First(presets, ident.PresetName(s.Message.FirstPreset))
+}
--- /dev/null
+++ b/vm/vm.go
@@ -0,0 +1,358 @@
+// Package vm assembles one entry VM: control, traffic, the platform's watcher,
+// the peers and the doors.
+package vm
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"carawaycross.example/carawaycross/claim"
+	"carawaycross.example/carawaycross/clock"
+	"carawaycross.example/carawaycross/codec"
+	"carawaycross.example/carawaycross/config"
+	"carawaycross.example/carawaycross/control"
+	"carawaycross.example/carawaycross/door"
+	"carawaycross.example/carawaycross/gauge"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/operator"
+	"carawaycross.example/carawaycross/peer"
+	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/settings"
+	"carawaycross.example/carawaycross/task"
+	"carawaycross.example/carawaycross/traffic"
+	"carawaycross.example/carawaycross/upstream"
+	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/watch"
+)
+
+const (
+	mostTasks     = 8
+	headerTimeout = 5 * time.Second
+	// leaveNotice is how long a stopping VM still answers after it stopped
+	// being ready, so that balancers and peers notice.
+	leaveNotice = 200 * time.Millisecond
+	drainLook   = 10 * time.Millisecond
+)
+
+// A Kind classifies an Error.
+type Kind string
+
+// The kinds of Error.
+const (
+	CannotStart Kind = "cannot-start"
+	CannotStop  Kind = "cannot-stop"
+)
+
+// An Error is a VM that could not start or stop.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("vm: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Options are the parts of a VM that may be replaced.
+type Options struct {
+	// Store replaces the platform's client.
+	Store platform.Store
+	// Policies replace the decisions of traffic; nil fields take the defaults.
+	Policies node.Policies
+	Log      zerolog.Logger
+}
+
+// A VM is one running entry VM.
+type VM struct {
+	settings *settings.Settings
+	log      zerolog.Logger
+	clock    clock.Clock
+	board    *view.Board
+	control  *loop
+	lane     *traffic.Lane
+	upstream *upstream.Client
+	claimer  *claim.Claimer
+	peers    *peer.Transport
+	watcher  *watch.Watcher
+	store    platform.Store
+	gauges   *gauge.Set
+	door     *door.Door
+	servers  []*http.Server
+	listener net.Listener
+	operator net.Listener
+	group    *task.Group
+	cancel   context.CancelFunc
+}
+
+// noPeers is the sender of a VM without peers.
+type noPeers struct{}
+
+func (noPeers) Send(ident.VMID, string, []byte) {}
+
+// Start starts a VM. It serves until Close.
+func Start(s *settings.Settings, o Options) (*VM, error) {
+	first, err := s.First()
+	if err != nil {
+		return nil, &Error{"settings", CannotStart, err}
+	}
+	v := &VM{
+		settings: s, log: o.Log, clock: clock.New(), board: &view.Board{}, upstream: &upstream.Client{},
+		gauges: &gauge.Set{}, store: o.Store, group: task.NewGroup(mostTasks),
+	}
+	if v.store == nil {
+		m := s.Message.Platform
+		v.store = &platform.Client{
+			Address: m.Address, Timeout: m.Timeout.AsDuration(), Rate: ident.Rate(m.CallsPerSecond),
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	now := v.clock.Now()
+	incarnation := ident.Incarnation(now)
+	self := s.Self(incarnation)
+	if err := v.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	core := control.New(now, control.Config{
+		Self: self, Seeds: s.Seeds(), Services: s.Services(), Fleet: s.Fleet(), Random: newRandom(),
+	})
+	v.control = newLoop(core, v.clock, v.board, noPeers{}, o.Log)
+	v.claimer = claim.Start(ctx, claim.Config{
+		Store: v.store, Deployment: v.deployment(), VM: self.VM, Incarnation: incarnation, Clock: v.clock,
+	})
+	v.newLane(self.VM, incarnation, o.Policies)
+	if err := v.startPeers(); err != nil {
+		cancel()
+		return nil, errors.Join(err, v.claimer.Close(), v.closeListeners())
+	}
+	v.lane.Start(ctx)
+	v.startControl(ctx, first)
+	v.startDoors(ctx)
+	o.Log.Info().Str("vm", string(self.VM)).Str("zone", string(self.Zone)).
+		Str("listen", v.Address()).Msg("vm-started")
+	return v, nil
+}
+
+func (v *VM) deployment() platform.Deployment {
+	return platform.Deployment(v.settings.Message.Deployment)
+}
+
+func (v *VM) listen() error {
+	m := v.settings.Message.Vm
+	var err error
+	if v.listener, err = net.Listen("tcp", m.Listen); err != nil {
+		return &Error{"listen", CannotStart, err}
+	}
+	if m.Operators == "" {
+		return nil
+	}
+	if v.operator, err = net.Listen("tcp", m.Operators); err != nil {
+		return errors.Join(&Error{"listen", CannotStart, err}, v.listener.Close())
+	}
+	return nil
+}
+
+func (v *VM) closeListeners() error {
+	err := v.listener.Close()
+	if v.operator != nil {
+		err = errors.Join(err, v.operator.Close())
+	}
+	return err
+}
+
+func (v *VM) startPeers() error {
+	m := v.settings.Message.Peers
+	if m.Listen == "" {
+		return nil
+	}
+	keys := &peer.Keys{Certificate: m.Certificate, Key: m.Key, Authority: m.Authority}
+	t, err := peer.Listen(m.Listen, keys, handler{v})
+	if err != nil {
+		return &Error{"peers", CannotStart, err}
+	}
+	v.peers, v.control.peers = t, t
+	return nil
+}
+
+func (v *VM) newLane(vm ident.VMID, incarnation ident.Incarnation, p node.Policies) {
+	v.lane = traffic.New(traffic.Config{
+		Core:  node.New(node.Config{VM: vm, Incarnation: incarnation, Random: newRandom(), Policies: p}),
+		Clock: v.clock, Board: v.board, Upstream: v.upstream, Claimer: v.claimer, Forwarder: forwarder{v},
+		Reports: v.control.reports, Observe: v.gauges.Observe,
+	})
+}
+
+func (v *VM) startControl(ctx context.Context, first config.Configuration) {
+	v.watcher = &watch.Watcher{
+		Store: v.store, Deployment: v.deployment(), Listener: listener{ctx, v.control},
+		First: first, Turn: v.control.turn,
+	}
+	v.group.Go(ctx, v.control.run)
+	v.group.Go(ctx, v.watcher.Run)
+	v.group.Go(ctx, v.repair)
+}
+
+// repair writes newer configurations to a store that lost them.
+func (v *VM) repair(ctx context.Context) {
+	for {
+		select {
+		case c := <-v.control.repairs:
+			if err := v.watcher.Repair(ctx, c); err != nil {
+				v.log.Warn().Err(err).Msg("platform-repair-failed")
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (v *VM) startDoors(ctx context.Context) {
+	v.door = &door.Door{
+		VM: ident.VMID(v.settings.Message.Vm.Name), Lane: v.lane, Board: v.board, Gauges: v.gauges,
+		Status: v.Status, Log: v.log,
+		Desk: &operator.Desk{
+			Store: v.store, Deployment: v.deployment(), Fleet: v.settings.Fleet(),
+			Known: func(ctx context.Context) config.Configuration { return v.control.status(ctx).Configuration },
+		},
+		Operated: func(ctx context.Context, c config.Configuration) {
+			v.control.post(ctx, event{kind: operated, configuration: c})
+		},
+	}
+	v.publishVars()
+	callers := v.door.Callers()
+	if v.operator == nil {
+		callers = v.door.Both()
+	} else {
+		v.serve(ctx, v.operator, v.door.Operators())
+	}
+	v.serve(ctx, v.listener, callers)
+}
+
+func (v *VM) serve(ctx context.Context, l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	v.servers = append(v.servers, server)
+	v.group.Go(ctx, func(context.Context) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			v.log.Error().Err(err).Msg("door-closed")
+		}
+	})
+}
+
+// Address returns the callers' door as IP:port.
+func (v *VM) Address() string { return v.listener.Addr().String() }
+
+// Operators returns the operators' door as IP:port.
+func (v *VM) Operators() string {
+	if v.operator == nil {
+		return v.Address()
+	}
+	return v.operator.Addr().String()
+}
+
+// Stop ends the VM without cutting a request: it stops being ready, finishes
+// what it accepted, at the longest until the settings' stop-within, and closes.
+func (v *VM) Stop(ctx context.Context) error {
+	within := v.settings.Message.Vm.StopWithin.AsDuration()
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	v.log.Info().Int("queries", v.lane.InFlight()).Msg("vm-stopping")
+	v.door.Leave()
+	v.control.post(ctx, event{kind: left})
+	sleep(ctx, leaveNotice)
+	var err error
+	for _, s := range v.servers {
+		err = errors.Join(err, s.Shutdown(ctx))
+	}
+	for v.lane.InFlight() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainLook)
+	}
+	return errors.Join(err, v.Close())
+}
+
+// Close ends the VM at once and waits for all its goroutines.
+func (v *VM) Close() error {
+	var err error
+	for _, s := range v.servers {
+		err = errors.Join(err, s.Close())
+	}
+	v.cancel()
+	<-v.lane.Done()
+	err = errors.Join(err, v.claimer.Close(), v.upstream.Close())
+	if v.peers != nil {
+		err = errors.Join(err, v.peers.Close())
+	}
+	v.group.Wait()
+	v.log.Info().Msg("vm-stopped")
+	if err != nil {
+		return &Error{"close", CannotStop, err}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// handler takes what peers send.
+type handler struct{ vm *VM }
+
+func (h handler) Message(_ context.Context, from ident.VMID, body []byte) {
+	h.vm.control.receive(from, body)
+}
+
+// Call answers a booking that a peer forwarded to the VM of its ticket.
+func (h handler) Call(ctx context.Context, from ident.VMID, body []byte) []byte {
+	var m schema.BookingRequest
+	if err := proto.Unmarshal(body, &m); err != nil {
+		h.vm.log.Warn().Str("from", string(from)).Msg("peer-call-refused")
+		return nil
+	}
+	arrival := codec.Booking(&m)
+	arrival.Relayed = true
+	answer := h.vm.lane.Ask(ctx, arrival)
+	if answer == nil {
+		return nil
+	}
+	out, err := proto.Marshal(codec.RelayedAnswer(ident.VMID(h.vm.settings.Message.Vm.Name), answer))
+	if err != nil {
+		return nil
+	}
+	return out
+}
+
+// forwarder passes bookings to the VM of their ticket.
+type forwarder struct{ vm *VM }
+
+func (f forwarder) Forward(ctx context.Context, to ident.VMID, a node.Arrival) *node.Answer {
+	member, ok := f.vm.board.Current().Members.Get(to)
+	if !ok || f.vm.peers == nil {
+		return nil
+	}
+	body, err := proto.Marshal(codec.BookingMessage(&a))
+	if err != nil {
+		return nil
+	}
+	answer, err := f.vm.peers.Call(ctx, to, member.Address, body)
+	var m schema.RelayedAnswer
+	if err != nil || len(answer) == 0 || proto.Unmarshal(answer, &m) != nil {
+		return nil
+	}
+	return codec.Relayed(&m)
+}
