Stragglers, overload and cold zones: evidence from lost hedges, queueing limits, early refusal

Admission counted the VM's own limits as if no other VM used the replicas, and parts were evicted one by one from queries that then missed their deadline.

Change: aborted attempts count with the time they had taken; slow is twice the median or the hedge delay; four slow replies in a row eject, one does on probation; limits grow only while replies are not delayed by queueing; admission estimates the wait from the rate of the last second, refuses when a shard's queue is full, and keeps time in reserve for higher classes; refusals that surely did not run no longer use up a part's attempts.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -16,7 +16,9 @@
 	InFlight, Most int
 	// Wait is the longest estimated queueing time over the wanted shards.
 	Wait time.Duration
-	// Typical is the median time of an attempt; 0 while unknown.
+	// QueueFull is true when a shard has no room for one more of this class.
+	QueueFull bool
+	// Typical is a high quantile of the time of an attempt; 0 while unknown.
 	Typical time.Duration
 	// Left is the time until the deadline.
 	Left time.Duration
@@ -54,12 +56,29 @@
 	if r.InFlight >= room {
 		return TooMany
 	}
-	if r.Wait+r.Typical > r.Left {
+	if r.QueueFull {
+		return TooMany
+	}
+	if float64(r.Wait+r.Typical) > usableShare(r)*float64(r.Left) {
 		return CannotMeet
 	}
 	return Admitted
 }
 
+// usableShare is the part of the time left that the estimate may take. A lower
+// class gets less: higher ones that arrive later go before it.
+func usableShare(r Request) float64 {
+	if r.Ranks <= 1 {
+		return highestUsable
+	}
+	return highestUsable - (highestUsable-lowestUsable)*float64(r.Rank)/float64(r.Ranks-1)
+}
+
+const (
+	highestUsable = 0.8
+	lowestUsable  = 0.4
+)
+
 // All admits up to the bound, whatever the class; it is the baseline.
 type All struct{}
 
--- a/container/queue.go
+++ b/container/queue.go
@@ -68,6 +68,19 @@
 // Len returns the number of queued values.
 func (q *Queue[T]) Len() int { return q.size }
 
+// Room reports whether Push at this rank would queue its value.
+func (q *Queue[T]) Room(rank int) bool {
+	if q.size < q.room {
+		return true
+	}
+	for worst := len(q.lanes) - 1; worst > rank; worst-- {
+		if len(q.lanes[worst]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Ahead returns the number of queued values that leave before a new one of
 // this rank.
 func (q *Queue[T]) Ahead(rank int) int {
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"carawaycross.example/carawaycross/admission"
+	"carawaycross.example/carawaycross/booking"
 	"carawaycross.example/carawaycross/container"
 	"carawaycross.example/carawaycross/coverage"
 	"carawaycross.example/carawaycross/ident"
@@ -80,10 +82,20 @@
 		return
 	}
 	if eq := c.query(ident.QueryID(evicted.query)); eq != nil {
-		c.giveUp(now, eq, evicted.part, coverage.Overload)
+		c.evict(now, eq, evicted.part)
 	}
 }
 
+// evict ends a part that lost its place in a queue. A search of which nothing
+// was sent yet is refused whole: the rest of it would only take other's places.
+func (c *Core) evict(now ident.Instant, q *query, i int) {
+	if q.arrival.Key == "" && q.firsts == 0 && !q.answered {
+		c.refuse(now, q, booking.NotRun, admission.TooMany, "")
+		return
+	}
+	c.giveUp(now, q, i, coverage.Overload)
+}
+
 // wakeShard looks at the shard's queue again soon: places also come from time,
 // when a ramp rises or an interval ends.
 func (c *Core) wakeShard(now ident.Instant, svc *service, sh *shard) {
@@ -164,7 +176,11 @@
 	c.attempts.Free(h)
 	c.observe(now, &a, &reply)
 	if q := c.query(ident.QueryID(a.query)); q != nil {
-		q.parts[a.part].drop(h)
+		p := &q.parts[a.part]
+		p.drop(h)
+		if reply.Outcome.NotRun() {
+			p.notRun++
+		}
 		c.replied(now, q, &a, &reply)
 	}
 	c.serveWaiting(now, a.svc, a.shard)
@@ -182,6 +198,7 @@
 	took := now.Sub(a.sent)
 	if reply.Outcome == replica.OK {
 		a.svc.latency.Record(now, took)
+		a.shard.Done(now)
 	}
 	if reply.Outcome == replica.Shed {
 		if q := c.query(ident.QueryID(a.query)); q != nil {
@@ -199,10 +216,12 @@
 }
 
 func (c *Core) sample(now ident.Instant, a *attempt, o replica.Outcome, took time.Duration) replica.Sample {
-	return replica.Sample{
-		Outcome: o, Took: took, Typical: a.svc.latency.Median(now),
+	latency := &a.svc.latency
+	return c.policies.Evidence.Decide(replica.Sample{
+		Outcome: o, Took: took, Base: latency.Base(now),
+		Slow:     max(slowFactor*latency.Median(now), latency.Delay(now)),
 		MayEject: c.policies.Eject.Decide(EjectQuestion{now, &a.shard.Shard, a.replica}),
-	}
+	})
 }
 
 func (c *Core) tellCondition(now ident.Instant, r *replica.State, o replica.Outcome) {
@@ -232,7 +251,11 @@
 		a := *c.attempts.Get(h)
 		c.attempts.Free(h)
 		a.replica.InFlight--
-		if a.replica.Observe(now, c.sample(now, &a, replica.Aborted, now.Sub(a.sent))) {
+		took := now.Sub(a.sent)
+		if delay := a.svc.latency.Delay(now); delay > 0 && took >= delay {
+			a.svc.latency.Record(now, took)
+		}
+		if a.replica.Observe(now, c.sample(now, &a, replica.Aborted, took)) {
 			a.svc.stale = true
 		}
 		c.actions = append(c.actions, Action{Kind: Abort, Attempt: ident.AttemptID(h)})
--- a/node/core.go
+++ b/node/core.go
@@ -23,6 +23,8 @@
 	massLossUpstreams = 3
 	massLossSpan      = time.Second
 	breaksKept        = 64
+	// slowFactor times the median is slow, if the hedge delay is not longer.
+	slowFactor = 2
 )
 
 // A Config is the identity and the injected parts of a Core.
@@ -220,15 +222,15 @@
 func (c *Core) admit(now ident.Instant, q *query) admission.Reason {
 	median := q.svc.latency.Median(now)
 	var wait time.Duration
+	full := false
 	for _, sh := range q.svc.shards {
-		if ahead := sh.waiting.Ahead(q.rank); ahead > 0 {
-			wait = max(wait, sh.Wait(now, ahead, median))
-		}
+		wait = max(wait, sh.Wait(now, sh.waiting.Ahead(q.rank), median))
+		full = full || !sh.waiting.Room(q.rank)
 	}
 	return c.policies.Admit.Decide(admission.Request{
 		Rank: q.rank, Ranks: len(q.preset.Classes),
-		InFlight: c.admitted, Most: q.preset.QueriesInFlight,
-		Wait: wait, Typical: median, Left: q.deadline.Sub(now),
+		InFlight: c.admitted, Most: q.preset.QueriesInFlight, QueueFull: full,
+		Wait: wait, Typical: max(median, q.svc.latency.Delay(now)), Left: q.deadline.Sub(now),
 	})
 }
 
--- a/node/policies.go
+++ b/node/policies.go
@@ -43,6 +43,8 @@
 	Spend policy.Policy[SpendQuestion, bool]
 	// Eject reports whether a slow replica may be passed over for a while.
 	Eject policy.Policy[EjectQuestion, bool]
+	// Evidence returns what the end of an attempt tells of its replica.
+	Evidence policy.Policy[replica.Sample, replica.Sample]
 }
 
 // Defaults returns the policies of the product.
@@ -53,11 +55,13 @@
 		HedgeDelay: policy.Func[HedgeQuestion, time.Duration](quantileDelay),
 		Spend:      policy.Func[SpendQuestion, bool](fromBudget),
 		Eject:      policy.Func[EjectQuestion, bool](boundedEjection),
+		Evidence:   policy.Func[replica.Sample, replica.Sample](allEvidence),
 	}
 }
 
 // Baseline returns the naive policies that measurements compare with: a random
-// replica, no hedges, retries without a budget, no ejection.
+// replica, no hedges, retries without a budget, no ejection, and no heed of
+// replicas that are cold, lost or shedding.
 func Baseline() Policies {
 	return Policies{
 		Choice:     replica.AnyReplica{},
@@ -65,6 +69,7 @@
 		HedgeDelay: policy.Func[HedgeQuestion, time.Duration](func(HedgeQuestion) time.Duration { return 0 }),
 		Spend:      policy.Func[SpendQuestion, bool](func(q SpendQuestion) bool { return !q.Hedge }),
 		Eject:      policy.Func[EjectQuestion, bool](func(EjectQuestion) bool { return false }),
+		Evidence:   policy.Func[replica.Sample, replica.Sample](drainingOnly),
 	}
 }
 
@@ -85,9 +90,22 @@
 	if p.Eject == nil {
 		p.Eject = d.Eject
 	}
+	if p.Evidence == nil {
+		p.Evidence = d.Evidence
+	}
 	return p
 }
 
+func allEvidence(s replica.Sample) replica.Sample { return s }
+
+// drainingOnly keeps the successes and the draining signal.
+func drainingOnly(s replica.Sample) replica.Sample {
+	if s.Outcome != replica.OK && s.Outcome != replica.Draining {
+		s.Outcome = replica.Gone
+	}
+	return s
+}
+
 func quantileDelay(q HedgeQuestion) time.Duration {
 	return q.Latency.Quantile(q.Now, q.Quantile)
 }
--- a/node/query.go
+++ b/node/query.go
@@ -25,7 +25,9 @@
 	missing
 )
 
-const mostAttempts = preset.MostAttempts
+// mostAttempts bounds all attempts of a part. The preset bounds those that may
+// have run; one that surely did not run costs its upstream next to nothing.
+const mostAttempts = preset.MostAttempts + 4
 
 // A part is one shard's share of a query.
 type part struct {
@@ -38,13 +40,20 @@
 	// Tried are the replicas of all attempts so far; attempts of them.
 	tried    [mostAttempts]*replica.State
 	attempts int
-	by       ident.ReplicaID
-	result   []byte
-	below    []ident.ShardID
+	// NotRun counts the attempts that surely did not run.
+	notRun int
+	by     ident.ReplicaID
+	result []byte
+	below  []ident.ShardID
 }
 
 func (p *part) settled() bool { return p.state == covered || p.state == missing }
 
+// spent reports whether the part may have no further attempt.
+func (p *part) spent(allowed int) bool {
+	return p.attempts-p.notRun >= allowed || p.attempts >= mostAttempts
+}
+
 func (p *part) drop(h container.Handle) {
 	for i := range p.liveCount {
 		if p.live[i] == h {
--- a/node/retry.go
+++ b/node/retry.go
@@ -56,7 +56,7 @@
 // asked for no certain snapshot is asked again for the pinned one.
 func (c *Core) mismatched(now ident.Instant, q *query, a *attempt) {
 	p := &q.parts[a.part]
-	if a.asked == 0 && p.liveCount == 0 && p.attempts < q.preset.AttemptsPerShard {
+	if a.asked == 0 && p.liveCount == 0 && !p.spent(q.preset.AttemptsPerShard) {
 		if r := c.choose(now, q, p, true); r != nil {
 			q.extra++
 			c.send(now, q, a.part, r)
@@ -103,7 +103,7 @@
 		return
 	}
 	switch {
-	case p.attempts >= q.preset.AttemptsPerShard:
+	case p.spent(q.preset.AttemptsPerShard):
 		c.giveUp(now, q, i, reason)
 	case p.shard.Usable(now) == 0:
 		c.giveUp(now, q, i, coverage.NoReplica)
--- a/node/search.go
+++ b/node/search.go
@@ -48,7 +48,7 @@
 	}
 	for i := range q.parts {
 		p := &q.parts[i]
-		if p.state != open || p.liveCount == 0 || p.attempts >= q.preset.AttemptsPerShard {
+		if p.state != open || p.liveCount == 0 || p.spent(q.preset.AttemptsPerShard) {
 			continue
 		}
 		r := c.choose(now, q, p, false)
--- a/replica/limit.go
+++ b/replica/limit.go
@@ -59,22 +59,32 @@
 	return s.Limit(now)
 }
 
-func (s *State) initialLimit() float64 {
-	return max(1, float64(s.Shares.Slots)/float64(max(s.Shares.VMs, 1)))
+// fairShare is this VM's part of the replica's slots: the parts of all VMs sum
+// to the slots, or to one a VM when there are fewer slots.
+func (s *State) fairShare() float64 {
+	return float64(max(s.Shares.RampShare(s.Shares.Slots), 1))
 }
 
 func (s *State) adaptive() float64 {
 	if s.limit == 0 {
-		s.limit = s.initialLimit()
+		s.limit = s.fairShare()
 	}
 	return s.limit
 }
 
-// grow raises the limit by one per round of successes while it is in use. It
-// stops at the replica's own slots: work beyond them only waits there.
-func (s *State) grow() {
+// adapt moves the limit after a reply. It rises by one per round of replies
+// while the limit is in use and replies are not delayed by queueing, up to the
+// replica's slots; it falls back to the fair share while they are delayed. After
+// Brakmo, Peterson: "TCP Vegas".
+func (s *State) adapt(m Sample) {
 	limit := s.adaptive()
-	if float64(s.InFlight)+1 >= limit {
+	switch {
+	case m.Base > 0 && m.Took > 2*m.Base:
+		if fair := s.fairShare(); limit > fair {
+			s.limit = max(limit-1/limit, fair)
+		}
+	case m.Base > 0 && m.Took > m.Base+m.Base/2:
+	case float64(s.InFlight)+1 >= limit:
 		s.limit = min(limit+1/limit, float64(max(s.Shares.Slots, 1)))
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -70,9 +70,7 @@
 
 const (
 	latencyWeight  = 0.2
-	slowFactor     = 4
-	slowMargin     = 5 * time.Millisecond
-	slowInRow      = 3
+	slowInRow      = 4
 	firstEjection  = time.Second
 	longestEject   = 30 * time.Second
 	firstLost      = 250 * time.Millisecond
@@ -118,14 +116,21 @@
 // Condition returns the condition at now, after ended intervals took effect.
 func (s *State) Condition(now ident.Instant) Condition {
 	switch s.condition {
-	case Ejected, Lost:
+	case Ejected:
+		if now >= s.until {
+			s.enter(Cold, now)
+			// On probation: one slow reply ejects it again, a fast one ends it.
+			s.slow = slowInRow - 1
+		}
+	case Lost:
 		if now >= s.until {
 			s.enter(Cold, now)
 		}
 	case Cold:
 		if s.stage(now) > s.Shares.Slots {
+			slow := s.slow
 			s.enter(Warm, now)
-			s.limit = s.initialLimit()
+			s.slow, s.limit = slow, s.fairShare()
 		}
 	}
 	return s.condition
@@ -186,8 +191,11 @@
 	Outcome Outcome
 	// Took is the time from sending to the end.
 	Took time.Duration
-	// Typical is the median latency of the service; 0 while unknown.
-	Typical time.Duration
+	// Slow is the latency from which the attempt counts as slow; 0 while too
+	// little is known.
+	Slow time.Duration
+	// Base is the service's latency without queueing; 0 while unknown.
+	Base time.Duration
 	// MayEject is true when the shard can do without this replica.
 	MayEject bool
 }
@@ -200,7 +208,8 @@
 	case OK, Failed:
 		s.observeLatency(now, m)
 	case Aborted:
-		if s.isSlow(m) {
+		// The latency is not known, only that it was longer.
+		if m.slow() {
 			s.observeLatency(now, m)
 		}
 	case Shed:
@@ -225,9 +234,9 @@
 		s.latency = m.Took
 	}
 	s.latency += time.Duration(latencyWeight * float64(m.Took-s.latency))
-	if !s.isSlow(m) {
+	s.adapt(m)
+	if !m.slow() {
 		s.slow = 0
-		s.grow()
 		return
 	}
 	s.slow++
@@ -237,9 +246,7 @@
 	}
 }
 
-func (s *State) isSlow(m Sample) bool {
-	return m.Typical > 0 && m.Took > slowFactor*m.Typical+slowMargin
-}
+func (m *Sample) slow() bool { return m.Slow > 0 && m.Took > m.Slow }
 
 // pauseFor enters c for an interval that doubles when the last one was recent.
 func (s *State) pauseFor(c Condition, now ident.Instant, first, longest time.Duration) {
--- a/replica/shard.go
+++ b/replica/shard.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"carawaycross.example/carawaycross/container"
 	"carawaycross.example/carawaycross/ident"
 	"carawaycross.example/carawaycross/snapshot"
 )
@@ -12,8 +13,13 @@
 	ID ident.ShardID
 	// Replicas have distinct IDs and all serve this shard.
 	Replicas []*State
+
+	done container.Window[int]
 }
 
+// leastEnded is the number of ended attempts that tell a rate.
+const leastEnded = 10
+
 // MayEject reports whether the shard can do without r: at least one other
 // replica stays usable and at most half of all are ejected.
 func (s *Shard) MayEject(now ident.Instant, r *State) bool {
@@ -62,8 +68,19 @@
 	return buf
 }
 
-// Wait estimates how long an attempt waits behind ahead others.
+// Done counts an attempt that a replica of the shard ended.
+func (s *Shard) Done(now ident.Instant) { s.done.Add(now, 1) }
+
+// Wait estimates how long an attempt waits behind ahead others: from the rate
+// at which attempts ended in the last second or, when they were few, from the
+// capacity and the typical latency.
 func (s *Shard) Wait(now ident.Instant, ahead int, typical time.Duration) time.Duration {
+	if ahead == 0 {
+		return 0
+	}
+	if ended := s.done.Sum(now); ended >= leastEnded {
+		return time.Duration(ahead) * time.Second / time.Duration(ended)
+	}
 	capacity := s.Capacity(now)
 	if capacity == 0 {
 		return typical
--- a/retry/latency.go
+++ b/retry/latency.go
@@ -14,6 +14,8 @@
 	latencySpan    = 5 * time.Second
 	refreshAfter   = 50 * time.Millisecond
 	leastSamples   = 50
+	// baseWeight lets the base follow a change of the service in about a minute.
+	baseWeight = 1000
 )
 
 // A Latency follows the quantiles of recent latencies. The zero value is
@@ -24,9 +26,12 @@
 	turned, refreshed ident.Instant
 	quantile          ident.Share
 	median, delay     time.Duration
+	// Base follows the lowest medians; it rises slowly.
+	base time.Duration
 }
 
-// Record adds one latency.
+// Record adds one latency, or the time after which an attempt was given up: its
+// latency is at least that.
 func (l *Latency) Record(now ident.Instant, took time.Duration) {
 	if l.current == nil {
 		l.current, l.previous = newHistogram(), newHistogram()
@@ -51,6 +56,18 @@
 	return l.median
 }
 
+// Base returns the median without queueing; 0 while there are too few samples.
+func (l *Latency) Base(now ident.Instant) time.Duration {
+	l.refresh(now, l.quantile)
+	return l.base
+}
+
+// Delay returns the latency at the quantile last asked for.
+func (l *Latency) Delay(now ident.Instant) time.Duration {
+	l.refresh(now, l.quantile)
+	return l.delay
+}
+
 // Quantile returns the latency at q; 0 while there are too few samples.
 func (l *Latency) Quantile(now ident.Instant, q ident.Share) time.Duration {
 	l.refresh(now, q)
@@ -71,4 +88,8 @@
 	}
 	l.median = time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
 	l.delay = time.Duration(h.ValueAtQuantile(float64(q)*100)) * time.Microsecond
+	if l.base == 0 || l.median < l.base {
+		l.base = l.median
+	}
+	l.base += (l.median - l.base) / baseWeight
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -356,3 +356,6 @@
 	}
 	return codec.Relayed(&m)
 }
+
+// Ready reports whether the VM takes new requests.
+func (v *VM) Ready() bool { return v.door.Ready() }
