Focused property tests; ejection by moving average, hedges one place beyond a limit

Cause of the straggler's p99 of 315 ms and more: it was avoided by its score and taken when the others were at their limits, which did not grow because single slow replies lowered them. Change: a replica is ejected when its moving average, each sample capped, turns slow; limits fall only after several delayed replies in a row; a hedge may take one place beyond a limit.

--- a/control/core_test.go
+++ b/control/core_test.go
@@ -1,7 +1,6 @@
 package control_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -10,22 +9,13 @@
 
 	"pgregory.net/rapid"
 
+	"carawaycross.example/carawaycross/internal/proptest"
+
 	"carawaycross.example/carawaycross/config"
 	"carawaycross.example/carawaycross/roster"
 )
 
-// TestMain fixes rapid's seed, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(proptest.Main(m)) }
 
 const (
 	worlds       = 1_000
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -32,13 +32,25 @@
 	c.send(now, q, i, r)
 }
 
-// choose picks a replica that was not tried; with again set, any eligible one
-// when all were tried.
-func (c *Core) choose(now ident.Instant, q *query, p *part, again bool) *replica.State {
-	in := replica.Selection{
+func (c *Core) selection(now ident.Instant, q *query, p *part) replica.Selection {
+	return replica.Selection{
 		Now: now, Shard: &p.shard.Shard, Snapshot: q.at,
 		Tried: p.tried[:p.attempts], Random: c.config.Random,
 	}
+}
+
+// chooseHedge picks a replica that was not tried, if need be one place beyond
+// its limit.
+func (c *Core) chooseHedge(now ident.Instant, q *query, p *part) *replica.State {
+	in := c.selection(now, q, p)
+	in.Extra = 1
+	return c.policies.Choice.Decide(&in)
+}
+
+// choose picks a replica that was not tried; with again set, any eligible one
+// when all were tried.
+func (c *Core) choose(now ident.Instant, q *query, p *part, again bool) *replica.State {
+	in := c.selection(now, q, p)
 	r := c.policies.Choice.Decide(&in)
 	if r == nil && again && p.attempts > 0 {
 		in.Tried = nil
@@ -219,7 +231,7 @@
 	latency := &a.svc.latency
 	return c.policies.Evidence.Decide(replica.Sample{
 		Outcome: o, Took: took, Base: latency.Base(now),
-		Slow:     max(slowFactor*latency.Median(now), latency.Delay(now)),
+		Slow:     slowFactor * latency.Median(now),
 		MayEject: c.policies.Eject.Decide(EjectQuestion{now, &a.shard.Shard, a.replica}),
 	})
 }
@@ -252,7 +264,7 @@
 		c.attempts.Free(h)
 		a.replica.InFlight--
 		took := now.Sub(a.sent)
-		if delay := a.svc.latency.Delay(now); delay > 0 && took >= delay {
+		if median := a.svc.latency.Median(now); median > 0 && took >= median {
 			a.svc.latency.Record(now, took)
 		}
 		if a.replica.Observe(now, c.sample(now, &a, replica.Aborted, took)) {
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -1,26 +1,16 @@
 package node_test
 
 import (
-	"flag"
 	"math/rand/v2"
 	"os"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"carawaycross.example/carawaycross/internal/proptest"
 )
 
-// TestMain fixes rapid's seed, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(proptest.Main(m)) }
 
 const (
 	worlds       = 100
--- a/node/policies.go
+++ b/node/policies.go
@@ -106,8 +106,12 @@
 	return s
 }
 
+// quantileDelay waits for the latency quantile, at the longest for slowFactor
+// medians: when more than the quantile's share is slow, the quantile itself
+// says nothing about normal replies, and the budget bounds the hedges.
 func quantileDelay(q HedgeQuestion) time.Duration {
-	return q.Latency.Quantile(q.Now, q.Quantile)
+	delay := q.Latency.Quantile(q.Now, q.Quantile)
+	return min(delay, slowFactor*q.Latency.Median(q.Now))
 }
 
 func fromBudget(q SpendQuestion) bool {
--- a/node/search.go
+++ b/node/search.go
@@ -51,7 +51,7 @@
 		if p.state != open || p.liveCount == 0 || p.spent(q.preset.AttemptsPerShard) {
 			continue
 		}
-		r := c.choose(now, q, p, false)
+		r := c.chooseHedge(now, q, p)
 		if r == nil || !c.spend(now, q, true) {
 			continue
 		}
--- a/replica/choice.go
+++ b/replica/choice.go
@@ -21,11 +21,21 @@
 	// Tried replicas are passed over.
 	Tried  []*State
 	Random Random
+	// Extra places beyond a replica's limit may be taken: a hedge takes the
+	// place of an attempt that is stuck elsewhere.
+	Extra int
 }
 
 // Eligible reports whether r may take the attempt now.
 func (in *Selection) Eligible(r *State) bool {
-	return r.Spare(in.Now) && in.Holds(r) && !in.tried(r)
+	return r.Usable(in.Now) && r.InFlight < r.Limit(in.Now)+in.extra(r) && in.Holds(r) && !in.tried(r)
+}
+
+func (in *Selection) extra(r *State) int {
+	if r.Condition(in.Now) != Warm {
+		return 0
+	}
+	return min(in.Extra, r.Shares.ConnectionShare()-r.Limit(in.Now))
 }
 
 // Holds reports whether r may hold the snapshot; 0 asks for none.
--- a/replica/limit.go
+++ b/replica/limit.go
@@ -74,17 +74,22 @@
 
 // adapt moves the limit after a reply. It rises by one per round of replies
 // while the limit is in use and replies are not delayed by queueing, up to the
-// replica's slots; it falls back to the fair share while they are delayed. After
-// Brakmo, Peterson: "TCP Vegas".
+// replica's slots; it falls back to the fair share while several in a row are.
+// After Brakmo, Peterson: "TCP Vegas".
 func (s *State) adapt(m Sample) {
+	if m.Base == 0 {
+		return
+	}
 	limit := s.adaptive()
-	switch {
-	case m.Base > 0 && m.Took > 2*m.Base:
-		if fair := s.fairShare(); limit > fair {
+	if m.Took > m.Base+m.Base/2 {
+		s.delayed++
+		if fair := s.fairShare(); s.delayed >= delayedInRow && limit > fair {
 			s.limit = max(limit-1/limit, fair)
 		}
-	case m.Base > 0 && m.Took > m.Base+m.Base/2:
-	case float64(s.InFlight)+1 >= limit:
+		return
+	}
+	s.delayed = 0
+	if float64(s.InFlight)+1 >= limit {
 		s.limit = min(limit+1/limit, float64(max(s.Shares.Slots, 1)))
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -70,7 +70,7 @@
 
 const (
 	latencyWeight  = 0.2
-	slowInRow      = 4
+	delayedInRow   = 3
 	firstEjection  = time.Second
 	longestEject   = 30 * time.Second
 	firstLost      = 250 * time.Millisecond
@@ -107,37 +107,31 @@
 	// Pause is the last interval of ejection or loss; it doubles on a repeat.
 	pause time.Duration
 	// Limit is the adaptive concurrency; 0 takes the initial share.
-	limit    float64
-	latency  time.Duration
-	slow     int
+	limit   float64
+	latency time.Duration
+	// Delayed counts the latest replies that queueing delayed, in a row.
+	delayed  int
 	coldMark uint64
 }
 
 // Condition returns the condition at now, after ended intervals took effect.
 func (s *State) Condition(now ident.Instant) Condition {
 	switch s.condition {
-	case Ejected:
-		if now >= s.until {
-			s.enter(Cold, now)
-			// On probation: one slow reply ejects it again, a fast one ends it.
-			s.slow = slowInRow - 1
-		}
-	case Lost:
+	case Ejected, Lost:
 		if now >= s.until {
 			s.enter(Cold, now)
 		}
 	case Cold:
 		if s.stage(now) > s.Shares.Slots {
-			slow := s.slow
 			s.enter(Warm, now)
-			s.slow, s.limit = slow, s.fairShare()
+			s.limit = s.fairShare()
 		}
 	}
 	return s.condition
 }
 
 func (s *State) enter(c Condition, now ident.Instant) {
-	s.condition, s.since, s.slow = c, now, 0
+	s.condition, s.since, s.delayed = c, now, 0
 }
 
 // Usable reports whether new work may go to the replica at all.
@@ -229,18 +223,20 @@
 	return s.condition != before
 }
 
+// observeLatency follows the latency and ejects a replica whose moving average
+// turns slow. A sample counts for at most half as much again as what is slow, so
+// that a single slow reply ejects only a replica without other evidence.
 func (s *State) observeLatency(now ident.Instant, m Sample) {
+	took := m.Took
+	if m.Slow > 0 {
+		took = min(took, m.Slow+m.Slow/2)
+	}
 	if s.latency == 0 {
-		s.latency = m.Took
+		s.latency = took
 	}
-	s.latency += time.Duration(latencyWeight * float64(m.Took-s.latency))
+	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
 	s.adapt(m)
-	if !m.slow() {
-		s.slow = 0
-		return
-	}
-	s.slow++
-	if s.slow >= slowInRow && m.MayEject && (s.condition == Warm || s.condition == Cold) {
+	if m.Slow > 0 && s.latency > m.Slow && m.MayEject && (s.condition == Warm || s.condition == Cold) {
 		s.pauseFor(Ejected, now, firstEjection, longestEject)
 		s.latency = 0
 	}
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,192 @@
+package replica_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/snapshot"
+)
+
+// TestRampSharesSumToTheStage: whatever the number of VMs, their parts of a
+// cold replica's concurrency sum to what it bears.
+func TestRampSharesSumToTheStage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 60).Draw(t, "VMs")
+		stage := rapid.IntRange(0, 100).Draw(t, "stage")
+		sum := 0
+		for rank := range vms {
+			sum += replica.Shares{VMs: vms, Rank: rank}.RampShare(stage)
+		}
+		if sum != stage {
+			t.Fatalf("the parts sum to %d of %d", sum, stage)
+		}
+	})
+}
+
+// TestConnectionSharesFit: the shares of all VMs, and of one more that is being
+// replaced, stay within the replica's connections while it has one for each.
+func TestConnectionSharesFit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 30).Draw(t, "VMs")
+		connections := rapid.IntRange(vms+1, 200).Draw(t, "connections")
+		share := replica.Shares{VMs: vms, Connections: connections}.ConnectionShare()
+		if share*(vms+1) > connections || share < 1 {
+			t.Fatalf("%d VMs and one more hold %d each of %d", vms, share, connections)
+		}
+	})
+}
+
+func newShard(n int) *replica.Shard {
+	s := &replica.Shard{}
+	for i := range n {
+		s.Replicas = append(s.Replicas, &replica.State{
+			ID:     ident.ReplicaID(rune('a' + i)),
+			Shares: replica.Shares{Slots: 4, Connections: 35, VMs: 1, RampStep: 100 * time.Millisecond},
+		})
+	}
+	return s
+}
+
+// TestNeverEjectsTheLast: random evidence never ejects the last usable replica
+// of a shard, nor more than half of them, rounded up.
+func TestNeverEjectsTheLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "replicas")
+		shard := newShard(n)
+		now := ident.Instant(time.Hour)
+		for range rapid.IntRange(1, 200).Draw(t, "samples") {
+			r := shard.Replicas[rapid.IntRange(0, n-1).Draw(t, "replica")]
+			usable := shard.Usable(now)
+			may := shard.MayEject(now, r)
+			r.Observe(now, replica.Sample{
+				Outcome: replica.OK, Took: time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond,
+				Slow: 40 * time.Millisecond, Base: 20 * time.Millisecond, MayEject: may,
+			})
+			if usable > 0 && shard.Usable(now) == 0 {
+				t.Fatal("the last usable replica was ejected")
+			}
+			ejected := 0
+			for _, o := range shard.Replicas {
+				if o.Condition(now) == replica.Ejected {
+					ejected++
+				}
+			}
+			if 2*ejected > n+1 {
+				t.Fatalf("%d of %d replicas are ejected", ejected, n)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
+		}
+	})
+}
+
+// TestColdAgainWithinAFewRequests: one refusal for coldness, or four slow
+// replies in a row, end the full load on a replica.
+func TestColdAgainWithinAFewRequests(t *testing.T) {
+	now := ident.Instant(time.Hour)
+	r := newShard(1).Replicas[0]
+	r.Observe(now, replica.Sample{Outcome: replica.RefusedCold})
+	if got := r.Limit(now); got != 1 {
+		t.Fatalf("the limit after a refusal is %d, expected 1", got)
+	}
+	slow := newShard(1).Replicas[0]
+	fast := replica.Sample{Took: 20 * time.Millisecond, Slow: 40 * time.Millisecond, Base: 20 * time.Millisecond, MayEject: true}
+	for range 20 {
+		slow.Observe(now, fast)
+	}
+	late := fast
+	late.Took = 400 * time.Millisecond
+	const few = 6
+	for i := range few {
+		slow.Observe(now, late)
+		if slow.Condition(now) == replica.Ejected {
+			return
+		}
+		if i == few-1 {
+			t.Fatalf("still %s after %d slow replies", slow.Condition(now), few)
+		}
+	}
+}
+
+// TestEjectedIsProbedAgain: after its interval an ejected replica gets one
+// attempt; a slow one ejects it for longer, a fast one keeps it.
+func TestEjectedIsProbedAgain(t *testing.T) {
+	now := ident.Instant(time.Hour)
+	r := newShard(1).Replicas[0]
+	late := replica.Sample{Took: 400 * time.Millisecond, Slow: 40 * time.Millisecond, Base: 20 * time.Millisecond, MayEject: true}
+	r.Observe(now, late)
+	if r.Condition(now) != replica.Ejected {
+		t.Fatalf("the first slow reply of an unknown replica left it %s", r.Condition(now))
+	}
+	var pauses []time.Duration
+	for range 3 {
+		began := now
+		for r.Condition(now) == replica.Ejected {
+			now = now.Add(10 * time.Millisecond)
+		}
+		pauses = append(pauses, now.Sub(began))
+		if r.Condition(now) != replica.Cold || r.Limit(now) != 1 {
+			t.Fatalf("after the interval it is %s with limit %d", r.Condition(now), r.Limit(now))
+		}
+		r.Observe(now, late)
+	}
+	if pauses[1] < pauses[0]*3/2 || pauses[2] < pauses[1]*3/2 {
+		t.Fatalf("the intervals do not grow: %v", pauses)
+	}
+	for r.Condition(now) == replica.Ejected {
+		now = now.Add(10 * time.Millisecond)
+	}
+	r.Observe(now, replica.Sample{Took: 20 * time.Millisecond, Slow: 40 * time.Millisecond, Base: 20 * time.Millisecond, MayEject: true})
+	if r.Condition(now.Add(time.Second)) != replica.Warm {
+		t.Fatalf("a fast reply left it %s", r.Condition(now.Add(time.Second)))
+	}
+}
+
+// TestLeavingGetsNothing: from the first word on, a leaving replica is never
+// eligible, whatever evidence follows.
+func TestLeavingGetsNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shard := newShard(2)
+		r := shard.Replicas[0]
+		now := ident.Instant(time.Hour)
+		r.Leave(now)
+		for range rapid.IntRange(1, 50).Draw(t, "samples") {
+			r.Observe(now, replica.Sample{Outcome: replica.Outcome(rapid.IntRange(0, 8).Draw(t, "outcome")), Took: time.Millisecond})
+			r.Chill(now, uint64(rapid.IntRange(0, 3).Draw(t, "mark")))
+			in := replica.Selection{Now: now, Shard: shard, Random: rand.New(rand.NewPCG(1, 1)), Extra: 1}
+			if in.Eligible(r) {
+				t.Fatal("a leaving replica is eligible")
+			}
+		}
+	})
+}
+
+// TestChoicePrefersTheLocalZone and spills when the local replica is loaded.
+func TestChoicePrefersTheLocalZone(t *testing.T) {
+	now := ident.Instant(time.Hour)
+	shard := newShard(3)
+	shard.Replicas[1].Local = true
+	for _, r := range shard.Replicas {
+		for range 10 {
+			r.Observe(now, replica.Sample{Took: 20 * time.Millisecond})
+		}
+	}
+	in := replica.Selection{Now: now, Shard: shard, Random: rand.New(rand.NewPCG(1, 1))}
+	if got := (replica.TwoChoices{}).Decide(&in); got != shard.Replicas[1] {
+		t.Fatalf("chose %s", got.ID)
+	}
+	shard.Replicas[1].InFlight = 3
+	if got := (replica.TwoChoices{}).Decide(&in); got == shard.Replicas[1] {
+		t.Fatal("did not spill from the loaded replica")
+	}
+	shard.Replicas[0].Held = snapshot.Range{Oldest: 1, Newest: 2}
+	shard.Replicas[2].Held = snapshot.Range{Oldest: 1, Newest: 2}
+	in.Snapshot = 3
+	if got := (replica.TwoChoices{}).Decide(&in); got != shard.Replicas[1] {
+		t.Fatal("chose a replica without the snapshot")
+	}
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,98 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/retry"
+)
+
+// TestBudgetBoundsExtraLoad: hedges stay within 5% of the first attempts, and
+// hedges and retries together within 10%, in any order of events.
+func TestBudgetBoundsExtraLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const share, faultShare = 0.05, 0.10
+		var b retry.Budget
+		now := ident.Instant(time.Hour)
+		firsts, hedges, extra := 0, 0, 0
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				n := rapid.IntRange(1, 40).Draw(t, "firsts")
+				for range n {
+					b.First(now, share, faultShare)
+				}
+				firsts += n
+			case 1:
+				if b.Hedge(now) {
+					hedges++
+					extra++
+				}
+			case 2:
+				if b.Retry(now) {
+					extra++
+				}
+			default:
+				b.Shed(now)
+			}
+			if float64(hedges) > share*float64(firsts)+1e-6 {
+				t.Fatalf("%d hedges after %d first attempts", hedges, firsts)
+			}
+			if float64(extra) > faultShare*float64(firsts)+1e-6 {
+				t.Fatalf("%d extra attempts after %d first ones", extra, firsts)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
+
+// TestOverloadStopsExtraAttempts: when a fifth of the attempts are shed, no
+// hedge and no retry starts.
+func TestOverloadStopsExtraAttempts(t *testing.T) {
+	var b retry.Budget
+	now := ident.Instant(time.Hour)
+	for range 1000 {
+		b.First(now, 0.05, 0.10)
+	}
+	if !b.Hedge(now) || !b.Retry(now) {
+		t.Fatal("no extra attempt although none was shed")
+	}
+	for range 200 {
+		b.Shed(now)
+	}
+	if b.Hedge(now) || b.Retry(now) {
+		t.Fatal("an extra attempt although a fifth was shed")
+	}
+	if b.Retry(now.Add(10 * time.Second)) {
+		return
+	}
+	t.Fatal("no retry long after the overload")
+}
+
+func TestQuantilesFollowRecentLatencies(t *testing.T) {
+	var l retry.Latency
+	now := ident.Instant(time.Hour)
+	if l.Quantile(now, 0.95) != 0 {
+		t.Fatal("a quantile without samples")
+	}
+	feed := func(ms int) {
+		for range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			l.Record(now, time.Duration(ms)*time.Millisecond)
+		}
+	}
+	feed(20)
+	if got := l.Quantile(now, 0.95); got < 19*time.Millisecond || got > 21*time.Millisecond {
+		t.Fatalf("the quantile of 20 ms is %v", got)
+	}
+	feed(80)
+	if got := l.Quantile(now, 0.95); got < 78*time.Millisecond {
+		t.Fatalf("the quantile is %v after 20 s of 80 ms", got)
+	}
+	if got := l.Base(now); got > 30*time.Millisecond {
+		t.Fatalf("the base is %v after 20 s of queueing", got)
+	}
+}
--- /dev/null
+++ b/vm/traffic_test.go
@@ -0,0 +1,278 @@
+package vm_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/standin"
+)
+
+const loadWorkers = 8
+
+// load searches through one VM until stop, which returns the searches that got
+// no whole answer.
+func (d *deployment) load(i int) (stop func() int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var lost atomic.Int64
+	ended := make(chan struct{}, loadWorkers)
+	for range loadWorkers {
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			for ctx.Err() == nil {
+				answer, err := d.clients[i].Search(context.Background(), search())
+				if err != nil || len(answer.ShardsCovered) != int(answer.ShardsWanted) {
+					lost.Add(1)
+				}
+			}
+		}()
+	}
+	return func() int {
+		cancel()
+		for range loadWorkers {
+			<-ended
+		}
+		return int(lost.Load())
+	}
+}
+
+var _ = Describe("traffic", func() {
+	It("stops without cutting a request", func() {
+		d := startAll()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var cut atomic.Int64
+		ended := make(chan struct{}, loadWorkers)
+		for range loadWorkers {
+			go func() {
+				defer func() { ended <- struct{}{} }()
+				for ctx.Err() == nil {
+					// A balancer sends new requests to ready VMs only.
+					if !d.vms[0].Ready() {
+						return
+					}
+					if _, err := d.clients[0].Search(context.Background(), search()); err != nil {
+						cut.Add(1)
+					}
+				}
+			}()
+		}
+		time.Sleep(200 * time.Millisecond)
+		Expect(d.vms[0].Stop(context.Background())).To(Succeed())
+		for range loadWorkers {
+			<-ended
+		}
+		Expect(cut.Load()).To(BeZero())
+		d.vms[0] = nil
+	})
+
+	It("gives a draining upstream no new work within 2 s, through any VM", func() {
+		d := startAll()
+		stop := []func() int{d.load(0), d.load(1), d.load(2)}
+		time.Sleep(200 * time.Millisecond)
+		u := d.Upstream("route-planner-1-0")
+		u.SetDraining(true)
+		began := time.Now()
+		time.Sleep(3 * time.Second)
+		for _, s := range stop {
+			Expect(s()).To(BeZero())
+		}
+		Expect(u.Totals().LastStart).To(BeTemporally("<", began.Add(2*time.Second)))
+		late := u.Totals().Refused
+		_, err := d.clients[0].Search(context.Background(), search())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(u.Totals().Refused).To(Equal(late), "nothing was sent to it at all")
+	})
+
+	It("stops sending to an upstream that the platform lists as leaving", func() {
+		d := startAll()
+		d.Platform.SetVM("route-planner-2-1", true)
+		d.eventually(func(s *schema.Status) bool {
+			for _, u := range s.Upstreams {
+				if u.Replica == "route-planner-2-1" && u.Condition == "leaving" {
+					return true
+				}
+			}
+			return false
+		}, 2*inForceWithin)
+	})
+
+	It("keeps the connections to each upstream within its limit", func() {
+		d := startAll()
+		stop := []func() int{d.load(0), d.load(1), d.load(2)}
+		time.Sleep(time.Second)
+		for _, s := range stop {
+			Expect(s()).To(BeZero())
+		}
+		for _, u := range d.Upstreams {
+			Expect(u.Totals().MostOpen).To(BeNumerically("<=", 35), u.Name())
+		}
+	})
+
+	It("refuses a request that crashes upstreams, and serves the others", func() {
+		d := startAll()
+		ctx := context.Background()
+		bad := search()
+		bad.Query = []byte(standin.CrashWord)
+		crashes := func() int {
+			n := 0
+			for _, u := range d.Upstreams {
+				n += u.Totals().Crashes
+			}
+			return n
+		}
+		_, _ = d.clients[0].Search(ctx, bad)
+		_, err := d.clients[0].Search(ctx, bad)
+		Expect(refusal(err).Reason).To(Equal("request-crashes-upstreams"))
+		spread := crashes()
+		Expect(spread).To(BeNumerically("<=", 5), "one for each shard and one canary")
+		Eventually(func() string {
+			_, err := d.clients[1].Search(ctx, bad)
+			return refusal(err).Reason
+		}).WithTimeout(inForceWithin).Should(Equal("request-crashes-upstreams"))
+		answer, err := d.clients[0].Search(ctx, search())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.ShardsCovered).To(HaveLen(4))
+	})
+
+	It("warms a restarted upstream with what it can bear", func() {
+		d := startAll()
+		stop := []func() int{d.load(0), d.load(1), d.load(2)}
+		u := d.Upstream("route-planner-0-1")
+		Expect(u.Close()).To(Succeed())
+		time.Sleep(300 * time.Millisecond)
+		Expect(u.Restart()).To(Succeed())
+		time.Sleep(3 * time.Second)
+		for _, s := range stop {
+			Expect(s()).To(BeZero())
+		}
+		Expect(u.Totals().FellOver).To(BeZero())
+	})
+
+	It("answers bad requests clearly", func() {
+		d := startAll()
+		post := func(kind, body string) (int, string) {
+			response, err := http.Post("http://"+d.vms[0].Address()+"/v1/search", kind, strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			text := make([]byte, 1<<12)
+			n, _ := response.Body.Read(text)
+			return response.StatusCode, string(text[:n])
+		}
+		for _, c := range []struct {
+			kind, body string
+			status     int
+			says       string
+		}{
+			{"application/json", `{"service":`, 400, "unexpected"},
+			{"application/json", `{"nosuch": 1}`, 400, "unknown field"},
+			{"application/json", `{"service": "route-planner", "deadline": "0s"}`, 400, "above 0"},
+			{"application/json", `{"service": "route-planner", "deadline": "3600s"}`, 400, "at most 10s"},
+			{"application/json", `{"service": "nosuch"}`, 404, "unknown-service"},
+			{"application/json", `{"service": "route-planner", "wanted-coverage": 2}`, 400, "allowed 0 to 1"},
+			{"text/plain", `hello`, 400, "content-type"},
+			{"application/json", `{"query": "` + strings.Repeat("A", 2<<20) + `"}`, 400, "too-large"},
+		} {
+			status, text := post(c.kind, c.body)
+			Expect(status).To(Equal(c.status), text)
+			Expect(text).To(ContainSubstring(c.says))
+			Expect(text).To(ContainSubstring("not-run"))
+		}
+		status, text := post("application/json", `{"service": "route-planner", "query": "bnV0cw=="}`)
+		Expect(status).To(Equal(200), text)
+	})
+})
+
+var _ = Describe("bookings", func() {
+	ctx := context.Background()
+
+	It("run once, whatever VM a resend goes through", func() {
+		d := startAll()
+		ticket, err := d.clients[0].Ticket(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		for _, key := range []string{ticket, callerKey("order")} {
+			ran := 0
+			for _, c := range d.clients {
+				if _, err := c.Book(ctx, booking(key)); err == nil {
+					ran++
+				} else {
+					Expect(refusal(err).Outcome).To(Equal("may-have-run"))
+				}
+			}
+			Expect(ran).To(BeNumerically(">=", 1))
+			Expect(d.runs(key)).To(Equal(1))
+		}
+	})
+
+	It("with a ticket need no platform; a caller's own key is refused truthfully", func() {
+		d := startAll()
+		d.Platform.SetFaults(standin.PlatformFaults{Down: true})
+		ticket, err := d.clients[1].Ticket(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = d.clients[2].Book(ctx, booking(ticket))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.runs(ticket)).To(Equal(1))
+		own := callerKey("order")
+		_, err = d.clients[0].Book(ctx, booking(own))
+		Expect(refusal(err).Outcome).To(Equal("may-have-run"))
+		Expect(d.runs(own)).To(BeZero())
+		d.Platform.SetFaults(standin.PlatformFaults{})
+		Eventually(func() error {
+			_, err := d.clients[0].Book(ctx, booking(own))
+			return err
+		}).WithTimeout(5 * time.Second).Should(Succeed())
+		Expect(d.runs(own)).To(Equal(1))
+	})
+
+	It("run once when the claim's answer is lost after it took effect", func() {
+		d := startAll()
+		d.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: 1})
+		key := callerKey("order")
+		_, err := d.clients[0].Book(ctx, booking(key))
+		Expect(err).NotTo(HaveOccurred())
+		for _, c := range d.clients {
+			_, _ = c.Book(ctx, booking(key))
+		}
+		Expect(d.runs(key)).To(Equal(1))
+	})
+
+	It("of a lost VM are never run again", func() {
+		d := startAll()
+		ticket, err := d.clients[0].Ticket(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		own := callerKey("order")
+		for _, key := range []string{ticket, own} {
+			_, err = d.clients[0].Book(ctx, booking(key))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		d.stop(0)
+		d.start(0)
+		d.eventually(func(s *schema.Status) bool { return s.Ready }, startWithin)
+		for _, key := range []string{ticket, own} {
+			for _, c := range d.clients {
+				_, err := c.Book(ctx, booking(key))
+				Expect(refusal(err).Outcome).To(Equal("may-have-run"))
+			}
+			Expect(d.runs(key)).To(Equal(1))
+		}
+	})
+
+	It("refuse a forged or malformed key as not run", func() {
+		d := startAll()
+		ticket, err := d.clients[0].Ticket(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		cut := ticket[:strings.LastIndex(ticket, ".")]
+		for _, key := range []string{cut + ".999", cut, "order-77", fmt.Sprintf("%d-", time.Now().UnixMilli())} {
+			_, err := d.clients[0].Book(ctx, booking(key))
+			Expect(refusal(err).Outcome).To(Equal("not-run"), key)
+			Expect(d.runs(key)).To(BeZero())
+		}
+	})
+})
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -359,3 +359,9 @@
 
 // Ready reports whether the VM takes new requests.
 func (v *VM) Ready() bool { return v.door.Ready() }
+
+// Inspect returns the state of the VM's traffic.
+func (v *VM) Inspect(ctx context.Context) node.Report {
+	report, _ := v.lane.Inspect(ctx)
+	return report
+}
--- /dev/null
+++ b/vm/vm_suite_test.go
@@ -0,0 +1,153 @@
+package vm_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"carawaycross.example/carawaycross/client"
+	"carawaycross.example/carawaycross/config"
+	"carawaycross.example/carawaycross/fleet"
+	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/vm"
+)
+
+func TestVM(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "one deployment over real sockets")
+}
+
+const (
+	startWithin   = 10 * time.Second
+	inForceWithin = 2 * time.Second
+	lookEvery     = 10 * time.Millisecond
+)
+
+// A deployment is running stand-ins and entry VMs.
+type deployment struct {
+	*fleet.Fleet
+	vms     []*vm.VM
+	clients []*client.Client
+}
+
+// smallSpec is a deployment of three zones and four shards.
+func smallSpec() fleet.Spec {
+	s := fleet.Association()
+	s.Services = []fleet.ServiceSpec{
+		{
+			Name: "route-planner", Shards: 4, Replicas: 3, Slots: 4, Connections: 35,
+			ConnectionCost: 6 * time.Millisecond, ServiceTime: 5 * time.Millisecond,
+		},
+		{
+			Name: "kitchen-desk", Shards: 1, Replicas: 6, Slots: 6, Connections: 100,
+			ConnectionCost: time.Millisecond, ServiceTime: 5 * time.Millisecond,
+		},
+	}
+	return s
+}
+
+func startFleet(spec fleet.Spec) *deployment {
+	f, err := fleet.Start(spec)
+	Expect(err).NotTo(HaveOccurred())
+	d := &deployment{Fleet: f, vms: make([]*vm.VM, spec.VMs), clients: make([]*client.Client, spec.VMs)}
+	DeferCleanup(func() {
+		for _, v := range d.vms {
+			if v != nil {
+				Expect(v.Close()).To(Succeed())
+			}
+		}
+		Expect(f.Close()).To(Succeed())
+	})
+	return d
+}
+
+func startAll() *deployment {
+	d := startFleet(smallSpec())
+	for i := range d.vms {
+		d.start(i)
+	}
+	d.eventually(func(s *schema.Status) bool { return s.Ready && len(s.Vms) == len(d.vms) }, startWithin)
+	return d
+}
+
+func (d *deployment) start(i int) {
+	s, err := d.Checked(i)
+	Expect(err).NotTo(HaveOccurred())
+	v, err := vm.Start(s, vm.Options{Log: zerolog.Nop()})
+	Expect(err).NotTo(HaveOccurred())
+	d.vms[i] = v
+	d.clients[i] = &client.Client{Address: v.Address(), HTTP: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 100,
+	}}}
+}
+
+func (d *deployment) stop(i int) {
+	Expect(d.vms[i].Close()).To(Succeed())
+	d.vms[i] = nil
+}
+
+// eventually waits until every running VM's status satisfies ok.
+func (d *deployment) eventually(ok func(*schema.Status) bool, within time.Duration) {
+	GinkgoHelper()
+	for i, v := range d.vms {
+		if v == nil {
+			continue
+		}
+		Eventually(func() bool { return ok(v.Status(context.Background())) }).
+			WithTimeout(within).WithPolling(lookEvery).Should(BeTrue(), "VM %d", i)
+	}
+}
+
+func search() *schema.SearchRequest {
+	return &schema.SearchRequest{
+		Service: "route-planner", Query: []byte("nuts"), Tenant: "allergy-desk", Class: "urgent",
+		Deadline: durationpb.New(time.Second),
+	}
+}
+
+func booking(key string) *schema.BookingRequest {
+	return &schema.BookingRequest{
+		Service: "kitchen-desk", Body: []byte("two lunches"), Tenant: "kitchens", RequestKey: key,
+		Deadline: durationpb.New(time.Second),
+	}
+}
+
+var changes int
+
+func (d *deployment) change(i int, kind config.ChangeKind, subject string) (*schema.ChangeAnswer, error) {
+	ctx := context.Background()
+	current, err := d.clients[i].Configuration(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	changes++
+	return d.clients[i].Change(ctx, &schema.ChangeRequest{
+		BasedOn: current.Version,
+		Change:  &schema.Change{Id: fmt.Sprintf("change-%d", changes), Kind: string(kind), Subject: subject, Who: "test"},
+	})
+}
+
+// runs returns how often the booking ran on all stand-ins.
+func (d *deployment) runs(key string) int {
+	n := 0
+	for _, u := range d.Upstreams {
+		n += u.Runs(key)
+	}
+	return n
+}
+
+func callerKey(text string) string { return fmt.Sprintf("%d-%s", time.Now().UnixMilli(), text) }
+
+func refusal(err error) *schema.Refusal {
+	GinkgoHelper()
+	var e *client.Error
+	Expect(err).To(BeAssignableToTypeOf(e))
+	e = err.(*client.Error)
+	Expect(e.Refusal).NotTo(BeNil(), "%v", err)
+	return e.Refusal
+}
