--- a/control/core_test.go
+++ b/control/core_test.go
@@ -12,6 +12,7 @@
 	"carawaycross.example/carawaycross/internal/proptest"
 
 	"carawaycross.example/carawaycross/config"
+	"carawaycross.example/carawaycross/node"
 	"carawaycross.example/carawaycross/roster"
 )
 
@@ -122,3 +123,25 @@
 		}
 	}
 }
+
+// TestColdMarkIsStable: views that follow each other carry the same mark for
+// the same news, so that one piece of news starts one ramp.
+func TestColdMarkIsStable(t *testing.T) {
+	w := newWorld(rand.New(rand.NewPCG(1, 2)), 5)
+	for _, vm := range w.vms[:3] {
+		vm.core.Report(w.now, node.News{Kind: node.Cold, Replica: "slotfinder-0-0"})
+		w.carryOut(vm)
+	}
+	w.advance(2 * time.Second)
+	mark := w.vms[4].view.Services[0].Replicas[0].ColdMark
+	if mark == 0 {
+		t.Fatal("the news did not arrive")
+	}
+	for range 50 {
+		w.vms[4].core.Listed(w.now, nil)
+		w.carryOut(w.vms[4])
+		if got := w.vms[4].view.Services[0].Replicas[0].ColdMark; got != mark {
+			t.Fatalf("the mark went from %d to %d without news", mark, got)
+		}
+	}
+}
--- a/control/view.go
+++ b/control/view.go
@@ -53,17 +53,18 @@
 // some VM found cold.
 func (c *Core) upstreamNews() (leaving map[string]bool, cold map[string]uint64) {
 	leaving, cold = map[string]bool{}, map[string]uint64{}
-	latest := map[string]uint64{}
+	latest := map[string]news.Item{}
 	for item := range c.news.All {
 		switch item.Kind {
 		case news.Leaving:
 			leaving[item.Subject] = true
-		case news.Cold:
-			if item.Sequence >= latest[item.Subject] {
-				latest[item.Subject] = item.Sequence
+		case news.Cold, news.Lost:
+			// A lost replica that returns is cold.
+			if old, ok := latest[item.Subject]; !ok || item.After(&old) {
+				latest[item.Subject] = item
 				cold[item.Subject] = item.Sequence ^ xxhash.Sum64String(string(item.Origin)) | 1
 			}
-		case news.Lost, news.Crash:
+		case news.Crash:
 		}
 	}
 	return leaving, cold
--- a/news/news.go
+++ b/news/news.go
@@ -50,6 +50,15 @@
 	Count int
 }
 
+// After reports whether the item is later than another of its subject; items of
+// the same sequence are ordered by their origins.
+func (i *Item) After(o *Item) bool {
+	if i.Sequence != o.Sequence {
+		return i.Sequence > o.Sequence
+	}
+	return i.Origin > o.Origin
+}
+
 const mostItems = 4096
 
 // A Book holds the news that has not expired. The zero value is empty.
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -243,7 +243,7 @@
 	case replica.Lost:
 		c.tell(News{Kind: Lost, Replica: r.ID})
 	case replica.Cold:
-		if o == replica.RefusedCold {
+		if o == replica.RefusedCold || o == replica.OK {
 			c.tell(News{Kind: Cold, Replica: r.ID})
 		}
 	case replica.Warm, replica.Ejected:
--- a/node/query.go
+++ b/node/query.go
@@ -95,8 +95,10 @@
 	fingerprint             poison.Fingerprint
 	// Canary is the part whose retry tells whether this request crashes
 	// upstreams; -1 without one. Crashes counts rounds of lost upstreams.
-	canary    int
-	crashes   int
+	canary  int
+	crashes int
+	// Broke is true once an attempt lost its upstream.
+	broke     bool
 	restarted bool
 	admitted  bool
 	answered  bool
--- a/node/retry.go
+++ b/node/retry.go
@@ -5,6 +5,7 @@
 
 	"carawaycross.example/carawaycross/coverage"
 	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/poison"
 	"carawaycross.example/carawaycross/replica"
 )
 
@@ -46,9 +47,6 @@
 	}
 	p.result, p.by = reply.Result, a.replica.ID
 	p.below = append(p.below[:0], reply.MissingBelow...)
-	if q.canary >= 0 {
-		c.vindicate(now, q, a.part)
-	}
 	c.settle(now, q, a.part, covered, coverage.None)
 }
 
@@ -139,6 +137,7 @@
 	p := &q.parts[i]
 	p.reason = coverage.Lost
 	c.breaks.Push(breakage{now, q.fingerprint, p.tried[p.attempts-1]})
+	q.broke = true
 	if p.liveCount > 0 {
 		return
 	}
@@ -147,7 +146,7 @@
 		q.canary, q.crashes = i, 1
 		c.retry(now, q, i, coverage.Lost)
 	case i:
-		q.crashes++
+		q.crashes = poison.Threshold
 		c.condemn(now, q)
 	default:
 		p.state = parked
@@ -159,23 +158,29 @@
 	return q.canary >= 0 && q.canary != i && q.parts[i].reason == coverage.Lost
 }
 
-// vindicate lets the held parts go on after the canary, or a part like it,
-// returned a result.
+// vindicate lets the held parts go on after the canary ended without losing its
+// upstream.
 func (c *Core) vindicate(now ident.Instant, q *query, i int) {
 	if q.canary != i {
 		return
 	}
 	q.canary, q.crashes = -1, 0
+	c.poison.Clear(q.fingerprint)
 	h := q.handle
 	for j := range q.parts {
 		if j == i || q.parts[j].state != parked || q.parts[j].reason != coverage.Lost {
 			continue
 		}
-		c.retry(now, q, j, coverage.Lost)
+		if q.parts[j].attempts == 0 {
+			c.first(now, q, j)
+		} else {
+			c.retry(now, q, j, coverage.Lost)
+		}
 		if c.queries.Get(h) == nil {
 			return
 		}
 	}
+	c.armHedge(now, q)
 }
 
 // condemn ends the parts that lost their upstreams: the canary lost one too.
@@ -183,7 +188,7 @@
 	c.crashed(now, q)
 	h := q.handle
 	for i := range q.parts {
-		if q.parts[i].state != covered && q.parts[i].reason == coverage.Lost && q.parts[i].liveCount == 0 {
+		if !q.parts[i].settled() && q.parts[i].reason == coverage.Lost && q.parts[i].liveCount == 0 {
 			c.settle(now, q, i, missing, coverage.Lost)
 			if c.queries.Get(h) == nil {
 				return
--- a/node/search.go
+++ b/node/search.go
@@ -31,6 +31,10 @@
 // startParts sends the first attempt of each part. The last part to settle may
 // answer the query.
 func (c *Core) startParts(now ident.Instant, q *query) {
+	if c.poison.Suspect(now, q.fingerprint) && !q.restarted {
+		c.startCanary(now, q)
+		return
+	}
 	h := q.handle
 	for i := range q.parts {
 		c.first(now, q, i)
@@ -41,6 +45,29 @@
 	c.armHedge(now, q)
 }
 
+// startCanary sends one part of a request that may have crashed upstreams
+// before; the others wait for its result.
+func (c *Core) startCanary(now ident.Instant, q *query) {
+	most := 0
+	for i := range q.parts {
+		p := &q.parts[i]
+		p.state, p.reason = parked, coverage.Lost
+		if p.shard == nil {
+			continue
+		}
+		// A crash hurts least where most replicas are left.
+		if usable := p.shard.Usable(now); usable > most {
+			q.canary, most = i, usable
+		}
+	}
+	if q.canary < 0 {
+		c.finishSearch(now, q)
+		return
+	}
+	q.crashes = 1
+	c.first(now, q, q.canary)
+}
+
 // hedge sends a second attempt for parts that take longer than most.
 func (c *Core) hedge(now ident.Instant, q *query) {
 	if q.answered || q.arrival.Key != "" {
@@ -85,6 +112,13 @@
 	if q.arrival.Key != "" || q.answered {
 		return
 	}
+	if q.canary == i && reason != coverage.Lost {
+		h := q.handle
+		c.vindicate(now, q, i)
+		if c.queries.Get(h) == nil {
+			return
+		}
+	}
 	enough := float64(q.coveredCount) >= float64(q.wanted)*float64(len(q.parts))
 	if q.unsettled == 0 || (enough && q.coveredCount > 0) {
 		c.finishSearch(now, q)
@@ -93,7 +127,8 @@
 
 // finishSearch answers with the parts that have come.
 func (c *Core) finishSearch(now ident.Instant, q *query) {
-	if q.canary >= 0 && q.parts[q.canary].attempts > 1 {
+	if q.crashes > 0 && q.broke {
+		q.crashes = 1
 		c.crashed(now, q)
 	}
 	a := &Answer{Snapshot: q.at, Map: q.pinned.Version}
@@ -122,7 +157,7 @@
 }
 
 func (p *part) whyMissing() coverage.Reason {
-	if p.state == missing {
+	if p.state == missing || (p.state == parked && p.reason != coverage.None) {
 		return p.reason
 	}
 	if p.state == waiting {
@@ -146,7 +181,7 @@
 	}
 	q.extra += q.firsts
 	q.firsts = 0
-	q.canary = -1
+	q.canary, q.crashes = -1, 0
 	c.pin(q, at, m)
 	c.startParts(now, q)
 	return true
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -60,6 +60,16 @@
 	return s.crashes >= Threshold
 }
 
+// Suspect reports whether the request may have crashed an upstream, though not
+// often enough to be refused.
+func (r *Register) Suspect(now ident.Instant, f Fingerprint) bool {
+	s, ok := r.suspects[f]
+	return ok && s.until > now
+}
+
+// Clear forgets a suspicion: the request ran everywhere without a crash.
+func (r *Register) Clear(f Fingerprint) { delete(r.suspects, f) }
+
 func (r *Register) expire(now ident.Instant) {
 	for f, s := range r.suspects {
 		if s.until < now {
--- a/replica/limit.go
+++ b/replica/limit.go
@@ -35,12 +35,23 @@
 	return (stage-s.Rank-1)/n + 1
 }
 
-// stage returns the total concurrency that a cold replica bears now, from 1.
+// stage returns the total concurrency that a cold replica bears now: 0 before
+// the ramp begins, then from 1.
 func (s *State) stage(now ident.Instant) int {
+	if now < s.since {
+		return 0
+	}
 	step := max(s.Shares.RampStep, time.Millisecond)
 	return 1 + int(now.Sub(s.since)/step)
 }
 
+// holdStage begins the current step of the ramp again: replies are still slow.
+func (s *State) holdStage(now ident.Instant) {
+	if now > s.since {
+		s.since = now.Add(-time.Duration(s.stage(now)-1) * max(s.Shares.RampStep, time.Millisecond))
+	}
+}
+
 // Limit returns the attempts that this VM may have in flight at the replica.
 func (s *State) Limit(now ident.Instant) int {
 	limit := min(int(s.adaptive()), s.Shares.ConnectionShare())
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -69,13 +69,15 @@
 }
 
 const (
-	latencyWeight  = 0.2
-	delayedInRow   = 3
-	firstEjection  = time.Second
-	longestEject   = 30 * time.Second
-	firstLost      = 250 * time.Millisecond
-	longestLost    = 4 * time.Second
-	leaveHold      = 10 * time.Second
+	latencyWeight = 0.2
+	delayedInRow  = 3
+	firstEjection = time.Second
+	longestEject  = 30 * time.Second
+	firstLost     = 250 * time.Millisecond
+	longestLost   = 4 * time.Second
+	leaveHold     = 10 * time.Second
+	// coldRestPart of a ramp step passes after a refusal for coldness.
+	coldRestPart   = 4
 	limitDecrease  = 0.7
 	healthySpan    = 30 * time.Second
 	crossZoneDelay = 2 * time.Millisecond
@@ -109,6 +111,10 @@
 	// Limit is the adaptive concurrency; 0 takes the initial share.
 	limit   float64
 	latency time.Duration
+	// WasLost is true from a loss to the first reply after it.
+	wasLost bool
+	// Probation is true while Cold follows Ejected: a slow reply ejects again.
+	probation bool
 	// Delayed counts the latest replies that queueing delayed, in a row.
 	delayed  int
 	coldMark uint64
@@ -119,7 +125,9 @@
 	switch s.condition {
 	case Ejected, Lost:
 		if now >= s.until {
+			ejected := s.condition == Ejected
 			s.enter(Cold, now)
+			s.probation = ejected
 		}
 	case Cold:
 		if s.stage(now) > s.Shares.Slots {
@@ -131,7 +139,7 @@
 }
 
 func (s *State) enter(c Condition, now ident.Instant) {
-	s.condition, s.since, s.delayed = c, now, 0
+	s.condition, s.since, s.delayed, s.probation = c, now, 0, false
 }
 
 // Usable reports whether new work may go to the replica at all.
@@ -195,12 +203,18 @@
 }
 
 // Observe takes the evidence of an attempt that ended at now, and reports
-// whether the condition changed.
+// whether other VMs should hear of it: the condition changed, or a lost replica
+// is back.
 func (s *State) Observe(now ident.Instant, m Sample) bool {
 	before := s.Condition(now)
 	switch m.Outcome {
 	case OK, Failed:
 		s.observeLatency(now, m)
+		if s.wasLost {
+			// It is back, and started anew: other VMs must hear that it is cold.
+			s.wasLost = false
+			return true
+		}
 	case Aborted:
 		// The latency is not known, only that it was longer.
 		if m.slow() {
@@ -209,14 +223,16 @@
 	case Shed:
 		s.limit = max(1, s.adaptive()*limitDecrease)
 	case RefusedCold:
+		// It is busy with another VM's attempt: the ramp begins after a rest.
 		if before != Leaving {
-			s.enter(Cold, now)
+			s.enter(Cold, now.Add(s.Shares.RampStep/coldRestPart))
 		}
 	case Draining:
 		s.Leave(now)
 	case Unsent, Broken:
 		if before != Leaving && before != Lost {
 			s.pauseFor(Lost, now, firstLost, longestLost)
+			s.wasLost = true
 		}
 	case Gone:
 	}
@@ -236,7 +252,13 @@
 	}
 	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
 	s.adapt(m)
-	if m.Slow > 0 && s.latency > m.Slow && m.MayEject && (s.condition == Warm || s.condition == Cold) {
+	if m.Slow == 0 || s.latency <= m.Slow {
+		return
+	}
+	switch {
+	case s.condition == Cold && !s.probation:
+		s.holdStage(now)
+	case m.MayEject && (s.condition == Warm || s.condition == Cold):
 		s.pauseFor(Ejected, now, firstEjection, longestEject)
 		s.latency = 0
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -15,15 +15,23 @@
 	// overloadShare of sheds stops every extra attempt.
 	overloadShare = 0.2
 	shedSpan      = 2 * time.Second
+	// StandingRetries may be spent whatever the traffic, and come back at
+	// StandingRate: a share of little traffic would be no retry at all.
+	StandingRetries            = 10
+	StandingRate    ident.Rate = 2
 )
 
 // A Budget bounds extra attempts to a share of the first ones. The zero value
-// has no attempts saved up. Hedges and retries spend the same part; retries of
-// failed attempts may spend a second part, which hedges cannot.
+// has only its standing retries. Hedges and retries spend the same part; retries
+// of failed attempts may spend a second part and the standing retries, which
+// hedges cannot.
 type Budget struct {
 	// Shared and reserve are saved attempts, from 0 to budgetCap.
 	shared, reserve float64
-	firsts, sheds   container.Window[float64]
+	// Spent counts the standing retries that have not come back by refilled.
+	spent         float64
+	refilled      ident.Instant
+	firsts, sheds container.Window[float64]
 }
 
 // First earns for one first attempt.
@@ -59,7 +67,17 @@
 // Retry spends for a retry of a failed attempt and reports whether it may
 // start.
 func (b *Budget) Retry(now ident.Instant) bool {
-	return b.Overload(now) < 1 && (spend(&b.reserve) || spend(&b.shared))
+	return b.Overload(now) < 1 && (spend(&b.reserve) || spend(&b.shared) || b.standing(now))
+}
+
+func (b *Budget) standing(now ident.Instant) bool {
+	back := now.Sub(b.refilled).Seconds() * float64(StandingRate)
+	b.spent, b.refilled = max(b.spent-back, 0), now
+	if b.spent+1 > StandingRetries {
+		return false
+	}
+	b.spent++
+	return true
 }
 
 func spend(part *float64) bool {
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -347,16 +347,18 @@
 // crash closes every connection and starts again, cold, after a while.
 func (u *Upstream) crash() {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.totals.Crashes++
 	if u.closing || u.crashing {
+		u.mu.Unlock()
 		return
 	}
 	u.crashing = true
 	u.restarted = make(chan struct{})
-	// The error is that of a listener closed before.
-	_ = u.server.Close()
-	go u.restartAfterCrash(u.done, u.restarted)
+	server, done, restarted := u.server, u.done, u.restarted
+	u.mu.Unlock()
+	// Closing the connections takes the lock; the error is of no use here.
+	_ = server.Close()
+	go u.restartAfterCrash(done, restarted)
 }
 
 func (u *Upstream) restartAfterCrash(done chan error, restarted chan struct{}) {
