--- a/control/control.go
+++ b/control/control.go
@@ -35,13 +35,18 @@
 	deadEvery    = 10
 	membersSent  = 16
 	newsSent     = 16
+	// A part of the roster has chunkSize members; a whole round of parts takes
+	// chunkPause for each, at the longest chunkLongest between two.
 	chunkSize    = 32
+	chunkPause   = 50 * time.Millisecond
+	chunkLongest = 5 * time.Second
 	// toldTimes is how often a piece is told by each VM that learned it.
 	toldTimes = pushFanout * pushRounds
 	// settleTime after its first ack a new VM is known to its peers, which have
 	// then made room for it; joinTimeout after its start it serves without one.
 	settleTime  = 500 * time.Millisecond
 	joinTimeout = 3 * time.Second
+	quietTime   = time.Minute
 )
 
 // A Config is the identity and the catalogue of a Core.
@@ -137,7 +142,18 @@
 	joined   bool
 	platform PlatformState
 	changed  bool
-	actions  []Action
+	// Ranks are this VM's places in the order of each service's replicas, for
+	// senders; members are for the view. Both are kept while they hold.
+	ranks         [][]int
+	senders       []ident.VMID
+	members       container.COW[ident.VMID, view.Member]
+	rosterChanged bool
+	// QuietUntil is when this VM has learned the roster: until then what it
+	// learns of VMs that are alive is no news to others.
+	quietUntil ident.Instant
+	// ChunkAfter is when the next part of the roster may be sent.
+	chunkAfter ident.Instant
+	actions    []Action
 }
 
 // PlatformState is what the Core knows of the platform.
@@ -157,8 +173,10 @@
 	}
 	core := &Core{
 		config: c, random: c.Random, roster: roster.New(now, c.Self),
-		probes: map[uint64]*probe{}, versions: map[ident.VMID]PeerVersion{}, changed: true,
+		probes: map[uint64]*probe{}, versions: map[ident.VMID]PeerVersion{},
+		changed: true, rosterChanged: true,
 	}
+	core.quietUntil = now.Add(quietTime)
 	for _, seed := range c.Seeds {
 		core.roster.Merge(now, seed)
 	}
@@ -316,8 +334,11 @@
 func (c *Core) settle(now ident.Instant) {
 	c.roster.Expire(now)
 	for _, m := range c.roster.Changed() {
+		c.changed, c.rosterChanged = true, true
+		if m.State == roster.Alive && m.VM != c.config.Self.VM && now < c.quietUntil {
+			continue
+		}
 		c.membersOut.Add(m.VM, m, toldTimes)
-		c.changed = true
 		c.schedulePush(now)
 	}
 	if c.changed {
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"carawaycross.example/carawaycross/ident"
 	"carawaycross.example/carawaycross/roster"
 )
@@ -128,7 +130,7 @@
 	}
 	ack := &Message{Kind: Ack, Sequence: m.Sequence}
 	if m.Digest.Roster != c.roster.Hash() {
-		ack.Members = c.chunk()
+		ack.Members = c.chunk(now)
 	}
 	c.sendSince(now, peer, ack, m.Digest.Configuration)
 }
@@ -153,15 +155,22 @@
 	}
 	if m.Digest.Roster != c.roster.Hash() {
 		if peer, ok := c.roster.Member(m.From); ok {
-			c.send(now, peer, &Message{Kind: Push, Members: c.chunk()})
+			c.send(now, peer, &Message{Kind: Push, Members: c.chunk(now)})
 		}
 	}
 }
 
-// chunk returns the next members of a rotation over the whole roster, so that
-// the cost of closing a gap is the same at every size.
-func (c *Core) chunk() []roster.Member {
+// chunk returns the next members of a rotation over the whole roster, and none
+// for a while after that at a large size, so that the cost of closing a gap is
+// bounded.
+func (c *Core) chunk(now ident.Instant) []roster.Member {
+	if now < c.chunkAfter {
+		return nil
+	}
 	members := c.roster.Members()
+	if parts := len(members) / chunkSize; parts > 0 {
+		c.chunkAfter = now.Add(min(time.Duration(parts)*chunkPause, chunkLongest))
+	}
 	out := make([]roster.Member, 0, chunkSize)
 	for range min(chunkSize, len(members)) {
 		c.chunkNext = (c.chunkNext + 1) % len(members)
--- a/control/view.go
+++ b/control/view.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,8 +30,7 @@
 		v.Ready, v.Preset = now >= c.readyAt, *p
 	}
 	v.Out = c.configuration.ZoneIsOut(self.Zone) || c.configuration.VMIsOut(string(self.VM))
-	senders := c.roster.Senders()
-	v.VMs = len(senders)
+	v.VMs = len(c.rank())
 	leaving, cold := c.upstreamNews()
 	v.Services = make([]view.Service, len(c.config.Services))
 	for i, s := range c.config.Services {
@@ -40,15 +40,39 @@
 			r.Out = c.configuration.ZoneIsOut(r.Zone) || c.configuration.VMIsOut(string(r.ID))
 			r.Leaving = leaving[string(r.ID)]
 			r.ColdMark = cold[string(r.ID)]
-			r.Rank = roster.Rank(self.VM, senders, string(r.ID))
+			r.Rank = c.ranks[i][j]
 		}
 		v.Services[i] = s
 	}
-	v.Members = c.viewMembers()
+	if c.rosterChanged {
+		c.rosterChanged = false
+		c.members = c.viewMembers()
+	}
+	v.Members = c.members
 	v.Poisoned = c.poisoned(now)
 	c.actions = append(c.actions, Action{Kind: Publish, View: v})
 }
 
+// rank returns the VMs that may be sending, and places this VM in the order of
+// each replica. The places are kept while the senders stay the same: restarts
+// do not change them, so at a large size they are rarely made anew.
+func (c *Core) rank() []ident.VMID {
+	senders := c.roster.Senders()
+	if c.ranks != nil && slices.Equal(senders, c.senders) {
+		return senders
+	}
+	c.senders = senders
+	order := roster.NewOrder(c.config.Self.VM, senders)
+	c.ranks = make([][]int, len(c.config.Services))
+	for i, s := range c.config.Services {
+		c.ranks[i] = make([]int, len(s.Replicas))
+		for j := range s.Replicas {
+			c.ranks[i][j] = order.Rank(string(s.Replicas[j].ID))
+		}
+	}
+	return senders
+}
+
 // upstreamNews returns which replicas are leaving, and a mark for each that
 // some VM found cold.
 func (c *Core) upstreamNews() (leaving map[string]bool, cold map[string]uint64) {
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -32,11 +32,13 @@
 	c.send(now, q, i, r)
 }
 
-func (c *Core) selection(now ident.Instant, q *query, p *part) replica.Selection {
-	return replica.Selection{
+// selection returns the input of a choice. It is reused by the next call.
+func (c *Core) selection(now ident.Instant, q *query, p *part) *replica.Selection {
+	c.choice = replica.Selection{
 		Now: now, Shard: &p.shard.Shard, Snapshot: q.at,
 		Tried: p.tried[:p.attempts], Random: c.config.Random,
 	}
+	return &c.choice
 }
 
 // chooseHedge picks a replica that was not tried, if need be one place beyond
@@ -44,17 +46,17 @@
 func (c *Core) chooseHedge(now ident.Instant, q *query, p *part) *replica.State {
 	in := c.selection(now, q, p)
 	in.Extra = 1
-	return c.policies.Choice.Decide(&in)
+	return c.policies.Choice.Decide(in)
 }
 
 // choose picks a replica that was not tried; with again set, any eligible one
 // when all were tried.
 func (c *Core) choose(now ident.Instant, q *query, p *part, again bool) *replica.State {
 	in := c.selection(now, q, p)
-	r := c.policies.Choice.Decide(&in)
+	r := c.policies.Choice.Decide(in)
 	if r == nil && again && p.attempts > 0 {
 		in.Tried = nil
-		r = c.policies.Choice.Decide(&in)
+		r = c.policies.Choice.Decide(in)
 	}
 	return r
 }
--- /dev/null
+++ b/node/bench_test.go
@@ -0,0 +1,100 @@
+package node_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/view"
+)
+
+func benchCore(shards int, p node.Policies) (*node.Core, ident.Instant) {
+	core := node.New(node.Config{VM: "entry-0", Incarnation: 1, Random: rand.New(rand.NewPCG(1, 1)), Policies: p})
+	s := view.Service{ID: "s", Slots: 64, Connections: 640, Maps: snapshot.Maps{{Version: 1, Since: 1}}}
+	for shard := range shards {
+		s.Maps[0].Shards = append(s.Maps[0].Shards, ident.ShardID(shard))
+		for i := range 3 {
+			s.Replicas = append(s.Replicas, view.Replica{
+				ID: ident.ReplicaID(fmt.Sprintf("r-%d-%d", shard, i)), Shard: ident.ShardID(shard),
+				Zone: worldZones[i], Address: "127.0.0.1:1",
+			})
+		}
+	}
+	now := ident.Instant(time.Hour)
+	core.Install(now, &view.View{
+		Self: "entry-0", Zone: worldZones[0], Ready: true, Preset: preset.Ordinary(), VMs: 1, Services: []view.Service{s},
+	})
+	return core, now
+}
+
+// BenchmarkQuery measures the decisions of a whole query: its arrival, one
+// attempt and reply a shard, its answer. It reports the cost of an attempt.
+func BenchmarkQuery(b *testing.B) {
+	for _, policy := range []struct {
+		name string
+		p    node.Policies
+	}{{"product", node.Defaults()}, {"baseline", node.Baseline()}} {
+		for _, shards := range []int{10, 30, 100, 300, 1100} {
+			b.Run(fmt.Sprintf("policy=%s/shards=%d", policy.name, shards), func(b *testing.B) {
+				core, now := benchCore(shards, policy.p)
+				body := []byte("allergy nuts")
+				var actions []node.Action
+				run := func() {
+					core.Arrive(now, node.Arrival{Service: "s", Class: "urgent", Body: body})
+					actions = core.Drain(actions[:0])
+					for i := range actions {
+						a := &actions[i]
+						if a.Kind == node.Send {
+							now = now.Add(10 * time.Microsecond)
+							core.Reply(now, node.Reply{
+								Attempt: a.Attempt, Outcome: replica.OK, Snapshot: 1, Shard: a.Shard, Result: body,
+								Held: snapshot.Range{Oldest: 1, Newest: 1},
+							})
+						}
+					}
+					core.Tick(now)
+					actions = core.Drain(actions[:0])
+				}
+				for range 200 {
+					run()
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					run()
+				}
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(shards), "ns/attempt")
+			})
+		}
+	}
+}
+
+// BenchmarkInstall measures taking a new view, by the number of replicas.
+func BenchmarkInstall(b *testing.B) {
+	for _, shards := range []int{10, 100, 300} {
+		b.Run(fmt.Sprintf("replicas=%d", 3*shards), func(b *testing.B) {
+			core, now := benchCore(shards, node.Policies{})
+			v := &view.View{Self: "entry-0", Zone: worldZones[0], Ready: true, Preset: preset.Ordinary(), VMs: 1}
+			s := view.Service{ID: "s", Slots: 64, Connections: 640, Maps: snapshot.Maps{{Version: 1, Since: 1}}}
+			for shard := range shards {
+				for i := range 3 {
+					s.Replicas = append(s.Replicas, view.Replica{
+						ID: ident.ReplicaID(fmt.Sprintf("r-%d-%d", shard, i)), Shard: ident.ShardID(shard), Zone: worldZones[i],
+					})
+				}
+			}
+			v.Services = []view.Service{s}
+			b.ResetTimer()
+			for range b.N {
+				core.Install(now, v)
+				core.Drain(nil)
+			}
+		})
+	}
+}
--- a/node/core.go
+++ b/node/core.go
@@ -75,6 +75,8 @@
 	// Running maps the key of each dispatched booking to its query.
 	running map[ident.RequestKey]container.Handle
 	actions []Action
+	// Choice is the input of the choice in progress.
+	choice replica.Selection
 	// Spare holds finished queries for reuse.
 	spare []*query
 	// Admitted counts the queries that were admitted and not answered.
--- a/roster/share.go
+++ b/roster/share.go
@@ -1,7 +1,7 @@
 package roster
 
 import (
-	"encoding/binary"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,25 +24,42 @@
 	return out
 }
 
-// Weight is the rendezvous weight of a VM for a subject (Thaler, Ravishankar:
-// "A Name-Based Mapping Scheme for Rendezvous").
-func Weight(vm ident.VMID, subject string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(subject)
-	var seed [8]byte
-	binary.LittleEndian.PutUint64(seed[:], xxhash.Sum64String(string(vm)))
-	_, _ = d.Write(seed[:])
-	return d.Sum64()
+// mix returns the rendezvous weight of a VM for a subject, from the hashes of
+// their names (Thaler, Ravishankar: "A Name-Based Mapping Scheme for
+// Rendezvous"). The finalizer is that of SplitMix64.
+func mix(subject, vm uint64) uint64 {
+	z := subject ^ bits.RotateLeft64(vm, 32)
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
 }
 
-// Rank returns the VM's place in the rendezvous order of the subject: 0 for the
-// highest weight among vms.
-func Rank(self ident.VMID, vms []ident.VMID, subject string) int {
-	own := Weight(self, subject)
+// An Order ranks one VM among others in the rendezvous order of any subject.
+type Order struct {
+	self ident.VMID
+	vms  []ident.VMID
+	// Hashes are those of the vms' names.
+	hashes []uint64
+}
+
+// NewOrder returns the Order of a VM among vms.
+func NewOrder(self ident.VMID, vms []ident.VMID) *Order {
+	o := &Order{self: self, vms: vms, hashes: make([]uint64, len(vms))}
+	for i, vm := range vms {
+		o.hashes[i] = xxhash.Sum64String(string(vm))
+	}
+	return o
+}
+
+// Rank returns the VM's place in the order of the subject: 0 for the highest
+// weight.
+func (o *Order) Rank(subject string) int {
+	base := xxhash.Sum64String(subject)
+	own := mix(base, xxhash.Sum64String(string(o.self)))
 	rank := 0
-	for _, vm := range vms {
-		w := Weight(vm, subject)
-		if vm != self && (w > own || (w == own && vm < self)) {
+	for i, vm := range o.vms {
+		w := mix(base, o.hashes[i])
+		if vm != o.self && (w > own || (w == own && vm < o.self)) {
 			rank++
 		}
 	}
@@ -62,5 +79,5 @@
 			vms = append(vms, vm)
 		}
 	}
-	return Rank(r.self, vms, "watch."+string(self.Zone)) < WatchersPerZone
+	return NewOrder(r.self, vms).Rank("watch."+string(self.Zone)) < WatchersPerZone
 }
--- a/shape_test.go
+++ b/shape_test.go
@@ -22,7 +22,7 @@
 
 // allowedImports are what a decision package may import besides its like.
 var allowedImports = []string{
-	"cmp", "encoding/binary", "errors", "fmt", "maps", "math/rand/v2", "reflect",
+	"cmp", "errors", "fmt", "maps", "math/bits", "math/rand/v2", "reflect",
 	"slices", "strconv", "strings", "time",
 	"github.com/cespare/xxhash/v2", "github.com/HdrHistogram/hdrhistogram-go",
 }
