--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -189,13 +189,19 @@
 }
 
 // BenchmarkHops measures the dissemination rule alone: pushes of one piece to
-// random peers, in rounds, until all know it.
+// random ones of each VM's fixed neighbours, in rounds, until all know it.
 func BenchmarkHops(b *testing.B) {
 	const fanout, rounds = 3, 2
 	for _, size := range []int{5, 50, 500, designPeers} {
 		b.Run(fmt.Sprintf("VMs=%d", size), func(b *testing.B) {
 			random := rand.New(rand.NewPCG(1, 4))
 			hops, missed, worst := 0, 0, 0
+			neighbours := make([][]int, size)
+			for vm := range neighbours {
+				for range min(roster.Neighbours, size) {
+					neighbours[vm] = append(neighbours[vm], random.IntN(size))
+				}
+			}
 			for range b.N {
 				depth := make([]int, size)
 				frontier := []int{0}
@@ -205,7 +211,7 @@
 					var next []int
 					for _, vm := range frontier {
 						for range fanout * rounds {
-							if to := random.IntN(size); depth[to] == 0 {
+							if to := neighbours[vm][random.IntN(len(neighbours[vm]))]; depth[to] == 0 {
 								depth[to] = depth[vm] + 1
 								known++
 								next = append(next, to)
--- a/example_embedding_test.go
+++ b/example_embedding_test.go
@@ -86,7 +86,9 @@
 		return
 	}
 	n.due.Add(n.now.Add(linkDelay), func() {
-		n.ask(a.Address, node.Arrival{Service: a.Service, Body: a.Body, Deadline: a.Left}, func(answer *node.Answer) {
+		n.ask(a.Address, node.Arrival{
+			Service: a.Service, Body: a.Body, Deadline: a.Left, Snapshot: a.Snapshot,
+		}, func(answer *node.Answer) {
 			if answer.Refusal != nil {
 				r.Outcome = replica.Shed
 			}
--- a/node/core.go
+++ b/node/core.go
@@ -131,8 +131,8 @@
 			c.services[vs.ID] = svc
 		}
 		svc.install(now, v, vs)
-		for _, sh := range svc.shards {
-			c.serveWaiting(now, svc, sh)
+		for _, id := range svc.order {
+			c.serveWaiting(now, svc, svc.shards[id])
 		}
 	}
 	for id := range c.services {
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -63,3 +64,25 @@
 		}
 	})
 }
+
+// TestSameSeedSameActions: with the same events, times and random source the
+// core returns the same actions.
+func TestSameSeedSameActions(t *testing.T) {
+	trace := func() []string {
+		w := newWorld(rand.New(rand.NewPCG(42, 1)))
+		w.trace = []string{}
+		for range 5_000 {
+			w.step()
+		}
+		return w.trace
+	}
+	a, b := trace(), trace()
+	if len(a) == 0 || !slices.Equal(a, b) {
+		for i := range a {
+			if i >= len(b) || a[i] != b[i] {
+				t.Fatalf("action %d differs: %s", i, a[i])
+			}
+		}
+		t.Fatalf("%d and %d actions", len(a), len(b))
+	}
+}
--- a/node/event.go
+++ b/node/event.go
@@ -21,6 +21,9 @@
 	WantedCoverage ident.Share
 	// Key is set for a request that may run at most once.
 	Key ident.RequestKey
+	// Snapshot is the one that the answer must be of, when the asker is an entry
+	// node that pinned it; 0 lets the core choose.
+	Snapshot ident.SnapshotID
 	// Relayed is true when another VM forwarded the request; it is then never
 	// forwarded again.
 	Relayed bool
--- a/node/search.go
+++ b/node/search.go
@@ -10,6 +10,9 @@
 
 func (c *Core) startSearch(now ident.Instant, q *query) {
 	at, m := q.svc.choose(now)
+	if pinned := q.arrival.Snapshot; pinned != 0 {
+		at, m = pinned, q.svc.maps.At(pinned)
+	}
 	if m == nil {
 		c.refuse(now, q, booking.NotRun, admission.NoService, "the service has no shard map")
 		return
@@ -172,7 +175,7 @@
 func (c *Core) restart(now ident.Instant, q *query) bool {
 	at, m := q.svc.choose(now)
 	median := q.svc.latency.Median(now)
-	if q.restarted || m == nil || at == 0 || at == q.at || q.deadline.Sub(now) < 2*median {
+	if q.restarted || q.arrival.Snapshot != 0 || m == nil || at == 0 || at == q.at || q.deadline.Sub(now) < 2*median {
 		return false
 	}
 	q.restarted = true
--- a/node/service.go
+++ b/node/service.go
@@ -23,9 +23,11 @@
 }
 
 type service struct {
-	id      ident.ServiceID
-	maps    snapshot.Maps
-	shards  map[ident.ShardID]*shard
+	id     ident.ServiceID
+	maps   snapshot.Maps
+	shards map[ident.ShardID]*shard
+	// Order holds the keys of shards in the order of their first replica.
+	order   []ident.ShardID
 	latency retry.Latency
 	// Budgets are indexed by the class's rank.
 	budgets []retry.Budget
@@ -115,6 +117,7 @@
 			waiting: container.NewQueue[waiter](queueLength, ranks),
 		}
 		s.shards[id] = sh
+		s.order = append(s.order, id)
 	}
 	sh.waiting.Resize(queueLength, ranks)
 	return sh
--- a/node/steps_test.go
+++ b/node/steps_test.go
@@ -232,13 +232,16 @@
 	if !w.running(vm) {
 		return
 	}
+	var oldest ident.QueryID
 	for id, s := range vm.sends {
-		if !s.answered && s.arrival.Key == "" {
-			vm.core.Cancel(w.now, id)
-			w.carryOut(vm)
-			return
+		if !s.answered && s.arrival.Key == "" && (oldest == 0 || id < oldest) {
+			oldest = id
 		}
 	}
+	if oldest != 0 {
+		vm.core.Cancel(w.now, oldest)
+		w.carryOut(vm)
+	}
 }
 
 // stepVM kills, restarts or pauses a VM.
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -91,6 +91,8 @@
 	faults    []string
 	answers   int
 	covered   int
+	// Trace holds every action, when it is not nil.
+	trace []string
 }
 
 const (
@@ -179,6 +181,9 @@
 // carryOut takes the core's actions and checks them.
 func (w *world) carryOut(vm *fakeVM) {
 	for _, a := range vm.core.Drain(nil) {
+		if w.trace != nil {
+			w.trace = append(w.trace, fmt.Sprint(vm.id, w.now, a.Kind, a.Query, a.Attempt, a.Replica, a.News))
+		}
 		switch a.Kind {
 		case node.Send:
 			u := w.upstreams[a.Replica]
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -26,7 +26,7 @@
 	queueLength    = 64
 	dialTimeout    = 2 * time.Second
 	sendTimeout    = 2 * time.Second
-	idleTimeout    = 15 * time.Second
+	idleTimeout    = time.Minute
 	mostPeers      = 64
 	mostWorkers    = 1024
 	closeCode      = 0
--- a/preset/preset.go
+++ b/preset/preset.go
@@ -150,7 +150,7 @@
 		LeastCoverage:    0.5,
 		ExtraShare:       0.05,
 		FaultExtraShare:  0.10,
-		HedgeQuantile:    0.95,
+		HedgeQuantile:    0.96,
 		AttemptsPerShard: 3,
 		RampStep:         500 * time.Millisecond,
 		QueueLength:      64,
--- a/roster/probe.go
+++ b/roster/probe.go
@@ -1,17 +1,26 @@
 package roster
 
 import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
 	"carawaycross.example/carawaycross/ident"
 	"carawaycross.example/carawaycross/replica"
 )
 
-// NextProbe returns the next VM to probe, round robin over a shuffled order, so
-// that each VM is probed within two rounds; false when there is no other.
+// NextProbe returns the next VM to probe, round robin over the shuffled
+// neighbours, so that each is probed within two rounds; false when there is no
+// other.
 func (r *Roster) NextProbe(random replica.Random) (Member, bool) {
-	for range 2 * len(r.order) {
+	for range 2*len(r.order) + 1 {
 		if r.next >= len(r.order) {
 			r.shuffle(random)
 		}
+		if len(r.order) == 0 {
+			break
+		}
 		vm := r.order[r.next]
 		r.next++
 		if m := r.members[vm]; m != nil && m.State != Dead {
@@ -21,18 +30,39 @@
 	return Member{}, false
 }
 
+// shuffle makes the probe order anew: this VM's neighbours that are not dead.
 func (r *Roster) shuffle(random replica.Random) {
-	kept := r.order[:0]
-	for _, vm := range r.order {
-		if r.members[vm] != nil {
-			kept = append(kept, vm)
+	r.order, r.next = r.neighbours(), 0
+	for i := len(r.order) - 1; i > 0; i-- {
+		j := random.IntN(i + 1)
+		r.order[i], r.order[j] = r.order[j], r.order[i]
+	}
+}
+
+// Neighbours is the number of VMs that a VM probes and tells. They stay the
+// same while the roster does, so that links to them stay open; each VM is the
+// neighbour of about as many others.
+const Neighbours = 20
+
+// neighbours returns the others that are not dead: all, or those first in this
+// VM's rendezvous order.
+func (r *Roster) neighbours() []ident.VMID {
+	var out []ident.VMID
+	for vm, m := range r.members {
+		if vm != r.self && m.State != Dead {
+			out = append(out, vm)
 		}
 	}
-	r.order, r.next = kept, 0
-	for i := len(kept) - 1; i > 0; i-- {
-		j := random.IntN(i + 1)
-		kept[i], kept[j] = kept[j], kept[i]
+	if len(out) <= Neighbours {
+		slices.Sort(out)
+		return out
 	}
+	base := xxhash.Sum64String(string(r.self))
+	weight := func(vm ident.VMID) uint64 { return mix(base, xxhash.Sum64String(string(vm))) }
+	slices.SortFunc(out, func(a, b ident.VMID) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
+	})
+	return out[:Neighbours]
 }
 
 // Sample returns up to n random others that are not dead and not except.
@@ -68,15 +98,14 @@
 // Dead returns a random dead VM to probe now and then: after a partition heals
 // nobody else would.
 func (r *Roster) Dead(random replica.Random) (Member, bool) {
-	var chosen Member
-	n := 0
-	for _, vm := range r.order {
-		if m := r.members[vm]; m != nil && m.State == Dead {
-			n++
-			if random.IntN(n) == 0 {
-				chosen = *m
-			}
+	var dead []Member
+	for _, m := range r.Members() {
+		if m.State == Dead {
+			dead = append(dead, m)
 		}
 	}
-	return chosen, n > 0
+	if len(dead) == 0 {
+		return Member{}, false
+	}
+	return dead[random.IntN(len(dead))], true
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -67,7 +67,8 @@
 	changed []Member
 	hash    uint64
 	hashed  bool
-	// Order is the probe order over the other members; next is the place in it.
+	// Order is the probe order of at most Neighbours members; next is the place
+	// in it.
 	order []ident.VMID
 	next  int
 	// Suspects are the instants at which a suspicion of a member ends.
@@ -145,7 +146,7 @@
 
 func (r *Roster) set(now ident.Instant, m Member) {
 	m.Since = now
-	if _, known := r.members[m.VM]; !known {
+	if _, known := r.members[m.VM]; !known && len(r.order) < Neighbours {
 		r.order = append(r.order, m.VM)
 	}
 	r.members[m.VM] = &m
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -28,7 +28,7 @@
 		{"name: peak", "name: ordinary", "presets[1].name"},
 		{"zone: windhoek-north", "zone: atlantis", `vm.zone: found "atlantis"`},
 		{"first-preset: ordinary", "first-preset: nosuch", `first-preset: found "nosuch"`},
-		{"hedge-quantile: 0.95", "hedge-quantile: 95", "hedge-quantile"},
+		{"hedge-quantile: 0.96", "hedge-quantile: 96", "hedge-quantile"},
 		{"listen: 127.0.0.1:8080", "listen: localhost", `vm.listen: found "localhost"`},
 		{"slots: 4", "slots: 0", "services[0].slots: found 0"},
 		{"name: route-planner-1-0", "name: route-planner-0-0", `"route-planner-0-0" twice`},
