--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -98,3 +99,28 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the heap of a replica's state and of a query in
+// flight, by attempt.
+func BenchmarkMemory(b *testing.B) {
+	const shards, queries = 1100, 200
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for range b.N {
+		before := heap()
+		core, now := benchCore(shards, node.Policies{})
+		installed := heap()
+		for range queries {
+			core.Arrive(now, node.Arrival{Service: "s", Class: "urgent", Body: []byte("allergy nuts")})
+			core.Drain(nil)
+		}
+		flying := heap()
+		b.ReportMetric((installed-before)/(3*shards), "B/replica")
+		b.ReportMetric((flying-installed)/queries/shards, "B/attempt-in-flight")
+		runtime.KeepAlive(core)
+	}
+}
--- a/node/retry.go
+++ b/node/retry.go
@@ -47,7 +47,14 @@
 	}
 	p.result, p.by = reply.Result, a.replica.ID
 	p.below = append(p.below[:0], reply.MissingBelow...)
-	c.settle(now, q, a.part, covered, coverage.None)
+	h := q.handle
+	if q.canary >= 0 {
+		// A request that crashes upstreams crashes each that runs it.
+		c.vindicate(now, q, a.part)
+	}
+	if c.queries.Get(h) != nil {
+		c.settle(now, q, a.part, covered, coverage.None)
+	}
 }
 
 // mismatched follows from a reply that is no result of its part. One that was
@@ -158,12 +165,9 @@
 	return q.canary >= 0 && q.canary != i && q.parts[i].reason == coverage.Lost
 }
 
-// vindicate lets the held parts go on after the canary ended without losing its
+// vindicate lets the held parts go on after part i ended without losing its
 // upstream.
 func (c *Core) vindicate(now ident.Instant, q *query, i int) {
-	if q.canary != i {
-		return
-	}
 	q.canary, q.crashes = -1, 0
 	c.poison.Clear(q.fingerprint)
 	h := q.handle
--- a/node/search.go
+++ b/node/search.go
@@ -13,8 +13,8 @@
 	if pinned := q.arrival.Snapshot; pinned != 0 {
 		at, m = pinned, q.svc.maps.At(pinned)
 	}
-	if m == nil {
-		c.refuse(now, q, booking.NotRun, admission.NoService, "the service has no shard map")
+	if m == nil || len(m.Shards) == 0 {
+		c.refuse(now, q, booking.NotRun, admission.NoService, "the service has no shards")
 		return
 	}
 	c.pin(q, at, m)
@@ -59,13 +59,12 @@
 			continue
 		}
 		// A crash hurts least where most replicas are left.
-		if usable := p.shard.Usable(now); usable > most {
-			q.canary, most = i, usable
+		if warm := p.shard.Warm(now); warm > most {
+			q.canary, most = i, warm
 		}
 	}
 	if q.canary < 0 {
-		c.finishSearch(now, q)
-		return
+		q.canary = 0
 	}
 	q.crashes = 1
 	c.first(now, q, q.canary)
@@ -130,7 +129,7 @@
 
 // finishSearch answers with the parts that have come.
 func (c *Core) finishSearch(now ident.Instant, q *query) {
-	if q.crashes > 0 && q.broke {
+	if q.crashes > 0 && q.broke && q.coveredCount == 0 {
 		q.crashes = 1
 		c.crashed(now, q)
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -171,14 +171,17 @@
 	}
 }
 
-// Chill starts the ramp of a replica that is told to be cold. Mark identifies
-// the evidence; the same mark starts only one ramp.
+// Chill starts the ramp of a warm replica that is told to be cold. Mark
+// identifies the evidence; the same mark starts only one ramp. A replica that is
+// lost or ejected waits out its interval, and its ramp begins then.
 func (s *State) Chill(now ident.Instant, mark uint64) {
-	if mark == s.coldMark || s.condition == Leaving {
+	if mark == s.coldMark {
 		return
 	}
 	s.coldMark = mark
-	s.enter(Cold, now)
+	if c := s.Condition(now); c == Warm || c == Cold {
+		s.enter(Cold, now)
+	}
 }
 
 // Restart begins a ramp: the replica comes back into use after it was out.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -149,6 +149,21 @@
 	}
 }
 
+// TestLostWaitsOutItsInterval: news that a replica is cold, from other VMs that
+// found it lost too, does not bring it back early.
+func TestLostWaitsOutItsInterval(t *testing.T) {
+	now := ident.Instant(time.Hour)
+	r := newShard(1).Replicas[0]
+	r.Observe(now, replica.Sample{Outcome: replica.Unsent})
+	for mark := range uint64(10) {
+		r.Chill(now, mark+1)
+		if got := r.Condition(now); got != replica.Lost {
+			t.Fatalf("after news it is %s", got)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+}
+
 // TestLeavingGetsNothing: from the first word on, a leaving replica is never
 // eligible, whatever evidence follows.
 func TestLeavingGetsNothing(t *testing.T) {
--- a/replica/shard.go
+++ b/replica/shard.go
@@ -49,6 +49,17 @@
 	return n
 }
 
+// Warm returns the number of replicas that are usable and warm.
+func (s *Shard) Warm(now ident.Instant) int {
+	n := 0
+	for _, r := range s.Replicas {
+		if r.Usable(now) && r.condition == Warm {
+			n++
+		}
+	}
+	return n
+}
+
 // Capacity returns the concurrency of all usable replicas together.
 func (s *Shard) Capacity(now ident.Instant) int {
 	n := 0
