--- a/claim/claim.go
+++ b/claim/claim.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"carawaycross.example/carawaycross/booking"
 	"carawaycross.example/carawaycross/clock"
@@ -152,7 +151,7 @@
 	var backoff platform.Backoff
 	for try := 0; try < mostTries && len(entries) > 0; try++ {
 		if !w.read && !w.refresh(ctx) {
-			if !wait(ctx, backoff.Next(0)) {
+			if !clock.Sleep(ctx, backoff.Next(0)) {
 				return nil
 			}
 			continue
@@ -175,7 +174,7 @@
 		w.read = false
 		var e *platform.Error
 		if !errors.As(err, &e) || e.Kind != platform.Conflict {
-			if !wait(ctx, backoff.Next(0)) {
+			if !clock.Sleep(ctx, backoff.Next(0)) {
 				return nil
 			}
 		}
@@ -210,14 +209,3 @@
 	}
 	return false
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"carawaycross.example/carawaycross/ident"
@@ -28,3 +29,15 @@
 	}
 	return min(max(t.Sub(c.Now()), 0), time.Hour)
 }
+
+// Sleep waits for d and reports whether it passed before the context was done.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(max(d, 0))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/door/door.go
+++ b/door/door.go
@@ -133,12 +133,19 @@
 		d.refuse(w, r, &node.Refusal{Outcome: booking.NotRun, Reason: badRequest, Detail: detail})
 		return
 	}
-	answer := d.Lane.Ask(r.Context(), codec.Search(&m))
+	if answer := d.ask(w, r, codec.Search(&m)); answer != nil {
+		d.write(w, r, http.StatusOK, codec.SearchAnswer(d.VM, answer))
+	}
+}
+
+// ask answers a request, or writes its refusal and returns nil.
+func (d *Door) ask(w http.ResponseWriter, r *http.Request, a node.Arrival) *node.Answer {
+	answer := d.Lane.Ask(r.Context(), a)
 	if refusal := refusalOf(answer); refusal != nil {
 		d.refuse(w, r, refusal)
-		return
+		return nil
 	}
-	d.write(w, r, http.StatusOK, codec.SearchAnswer(d.VM, answer))
+	return answer
 }
 
 const badRequest admission.Reason = "bad-request"
@@ -183,12 +190,9 @@
 		d.refuse(w, r, &node.Refusal{Outcome: booking.NotRun, Reason: badRequest, Detail: detail})
 		return
 	}
-	answer := d.Lane.Ask(r.Context(), codec.Booking(&m))
-	if refusal := refusalOf(answer); refusal != nil {
-		d.refuse(w, r, refusal)
-		return
+	if answer := d.ask(w, r, codec.Booking(&m)); answer != nil {
+		d.write(w, r, http.StatusOK, codec.BookingAnswer(d.VM, answer))
 	}
-	d.write(w, r, http.StatusOK, codec.BookingAnswer(d.VM, answer))
 }
 
 func (d *Door) ticket(w http.ResponseWriter, r *http.Request) {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -15,10 +15,15 @@
 	// overloadShare of sheds stops every extra attempt.
 	overloadShare = 0.2
 	shedSpan      = 2 * time.Second
-	// StandingRetries may be spent whatever the traffic, and come back at
-	// StandingRate: a share of little traffic would be no retry at all.
-	StandingRetries            = 10
-	StandingRate    ident.Rate = 2
+)
+
+// The standing retries may be spent whatever the traffic: a share of little
+// traffic would be no retry at all.
+const (
+	// StandingRetries is their number.
+	StandingRetries = 10
+	// StandingRate is how fast they come back.
+	StandingRate ident.Rate = 2
 )
 
 // A Budget bounds extra attempts to a share of the first ones. The zero value
--- a/settings/check.go
+++ b/settings/check.go
@@ -18,7 +18,7 @@
 	longestStopWithin = 10 * time.Minute
 	defaultTimeout    = 2 * time.Second
 	longestTimeout    = time.Minute
-	defaultRate       = 20
+	defaultRate       = 60
 	mostRate          = 500
 	mostSlots         = 1024
 	mostConnections   = 10_000
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -270,13 +270,13 @@
 	v.log.Info().Int("queries", v.lane.InFlight()).Msg("vm-stopping")
 	v.door.Leave()
 	v.control.post(ctx, event{kind: left})
-	sleep(ctx, leaveNotice)
+	clock.Sleep(ctx, leaveNotice)
 	var err error
 	for _, s := range v.servers {
 		err = errors.Join(err, s.Shutdown(ctx))
 	}
 	for v.lane.InFlight() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainLook)
+		clock.Sleep(ctx, drainLook)
 	}
 	return errors.Join(err, v.Close())
 }
@@ -301,15 +301,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // handler takes what peers send.
 type handler struct{ vm *VM }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"carawaycross.example/carawaycross/clock"
 	"carawaycross.example/carawaycross/codec"
 	"carawaycross.example/carawaycross/config"
 	"carawaycross.example/carawaycross/platform"
@@ -85,7 +86,7 @@
 		}
 		if err != nil {
 			w.Listener.PlatformFailed(err.Error())
-			pause(ctx, backoff.Next(rand.Float64()))
+			clock.Sleep(ctx, backoff.Next(rand.Float64()))
 			o, err = w.Store.Get(ctx, w.object())
 			continue
 		}
@@ -96,7 +97,7 @@
 
 func (w *Watcher) take(ctx context.Context, o platform.Object, waited time.Duration) error {
 	if o.Version == 0 && w.Listener.Known(ctx).Version == 0 {
-		pause(ctx, createAfter-waited)
+		clock.Sleep(ctx, createAfter-waited)
 		if w.Listener.Known(ctx).Version == 0 {
 			return w.create(ctx)
 		}
@@ -131,12 +132,12 @@
 	for ctx.Err() == nil {
 		vms, err := w.Store.VMs(ctx)
 		if err != nil {
-			pause(ctx, backoff.Next(rand.Float64()))
+			clock.Sleep(ctx, backoff.Next(rand.Float64()))
 			continue
 		}
 		backoff.Reset()
 		w.Listener.Listed(vms)
-		pause(ctx, listPeriod)
+		clock.Sleep(ctx, listPeriod)
 	}
 }
 
@@ -157,12 +158,3 @@
 	_, err = w.Store.Put(ctx, w.object(), value, o.Version)
 	return err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(max(d, 0))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
