The node oracle heeds an upstream's own draining signal

Cause: with both places that take the draining signal removed, the node tests stayed green. Change: the oracle notes the signal of each reply that a core still waits for, and no new work may follow.

--- a/node/steps_test.go
+++ b/node/steps_test.go
@@ -11,6 +11,9 @@
 	"carawaycross.example/carawaycross/replica"
 )
 
+// heedsDraining is how long an upstream's own word that it leaves must hold.
+const heedsDraining = 5 * time.Second
+
 // steps are the world's random events, the frequent ones listed more often.
 var steps = []func(*world){
 	(*world).stepSearch, (*world).stepSearch, (*world).stepSearch,
@@ -99,6 +102,11 @@
 
 func (w *world) reply(m *message, r node.Reply) {
 	if w.running(m.vm) {
+		// The reply of an aborted attempt is not read, so it tells nothing.
+		if m.vm.live[r.Attempt] && (r.Draining || r.Outcome == replica.Draining) {
+			w.upstreams[m.action.Replica].heard[m.vm] = w.now.Add(heedsDraining)
+		}
+		delete(m.vm.live, r.Attempt)
 		m.vm.core.Reply(w.now, r)
 		w.carryOut(m.vm)
 	}
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -28,8 +28,10 @@
 	up       bool
 	draining bool
 	out      bool
-	// Told is the set of VM lives that were told of draining or out.
-	told map[*fakeVM]bool
+	// Told is the set of VM lives whose view says that it leaves or is out;
+	// heard is until when a life must heed the upstream's own word.
+	told  map[*fakeVM]bool
+	heard map[*fakeVM]ident.Instant
 }
 
 type fakeVM struct {
@@ -40,6 +42,8 @@
 	pausedTill  ident.Instant
 	view        *view.View
 	sends       map[ident.QueryID]*send
+	// Live are the attempts that the core has not aborted and has no reply of.
+	live map[ident.AttemptID]bool
 }
 
 // A send is one request of a caller to one VM.
@@ -117,7 +121,7 @@
 		for i, zone := range worldZones {
 			id := ident.ReplicaID(fmt.Sprintf("r-%d-%d", shard, i))
 			w.upstreams[id] = &fakeUpstream{
-				shard: shard, zone: zone, up: true, told: map[*fakeVM]bool{},
+				shard: shard, zone: zone, up: true, told: map[*fakeVM]bool{}, heard: map[*fakeVM]ident.Instant{},
 				held: snapshot.Range{Oldest: 1, Newest: 3},
 			}
 			w.order = append(w.order, id)
@@ -138,12 +142,13 @@
 func (w *world) startVM(vm *fakeVM) {
 	w.lives++
 	vm.incarnation, vm.alive = ident.Incarnation(w.lives), true
-	vm.sends = map[ident.QueryID]*send{}
+	vm.sends, vm.live = map[ident.QueryID]*send{}, map[ident.AttemptID]bool{}
 	vm.core = node.New(node.Config{
 		VM: vm.id, Incarnation: vm.incarnation, Random: rand.New(rand.NewPCG(uint64(w.lives), 7)),
 	})
 	for _, u := range w.upstreams {
 		delete(u.told, vm)
+		delete(u.heard, vm)
 	}
 	w.install(vm)
 }
@@ -187,17 +192,20 @@
 		switch a.Kind {
 		case node.Send:
 			u := w.upstreams[a.Replica]
-			if u.told[vm] {
+			if u.told[vm] || w.now < u.heard[vm] {
 				w.fault("%s sent new work to %s after it was told that it leaves or is out", vm.id, a.Replica)
 			}
 			w.flying = append(w.flying, message{vm: vm, action: a})
+			vm.live[a.Attempt] = true
 		case node.Finish:
 			w.answered(vm, a)
 		case node.Claim:
 			w.claims = append(w.claims, claimCall{vm, a})
 		case node.Forward:
 			w.forward(vm, a)
-		case node.Abort, node.Tell:
+		case node.Abort:
+			delete(vm.live, a.Attempt)
+		case node.Tell:
 		}
 	}
 }
