A retry without a place waits in the queue

Cause: one search in some thousands, under a closed load, got no answer before its deadline after its upstream left. Its retry looked for a place every 10 ms and found none: each place that came free went to the attempts in the queue. Change: a retry without a place joins the queue, and spends its budget when its turn comes.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -146,8 +146,7 @@
 	case p.attempts == 0:
 		c.startFirst(now, q, i, r)
 	default:
-		q.extra++
-		c.send(now, q, i, r)
+		c.retryAt(now, q, i, r)
 	}
 }
 
--- a/node/retry.go
+++ b/node/retry.go
@@ -88,6 +88,9 @@
 // gone follows from a replica that does not hold the pinned snapshot.
 func (c *Core) gone(now ident.Instant, q *query, i int) {
 	p := &q.parts[i]
+	if p.liveCount > 0 {
+		return
+	}
 	for _, r := range p.shard.Replicas {
 		if r.Usable(now) && r.Held.Holds(q.at) {
 			c.retry(now, q, i, coverage.SnapshotGone)
@@ -119,8 +122,17 @@
 
 func (c *Core) retryNow(now ident.Instant, q *query, i int) {
 	p := &q.parts[i]
-	r := c.choose(now, q, p, p.reason != coverage.Lost)
-	if r == nil || !c.spend(now, q, false) {
+	if r := c.choose(now, q, p, p.reason != coverage.Lost); r != nil {
+		c.retryAt(now, q, i, r)
+		return
+	}
+	// No place: wait in the queue, else first attempts take every one.
+	c.enqueue(now, q, i)
+}
+
+// retryAt sends a retry, or parks the part until the budget allows one.
+func (c *Core) retryAt(now ident.Instant, q *query, i int, r *replica.State) {
+	if !c.spend(now, q, false) {
 		c.park(now, q, i)
 		return
 	}
