A stopwatch of the tests returns 0 for what came before its start

A stand-in that never ran anything reports the zero time; less a stall of the machine it overflowed to a large positive time and failed one run.

--- a/vm/vm_suite_test.go
+++ b/vm/vm_suite_test.go
@@ -148,7 +148,11 @@
 
 func (s stopwatch) elapsed() time.Duration { return s.until(time.Now()) }
 
+// until returns the time to t; 0 when t came before the start.
 func (s stopwatch) until(t time.Time) time.Duration {
+	if t.Before(s.began) {
+		return 0
+	}
 	return t.Sub(s.began) - time.Duration(stalled.Load()-s.stalled)
 }
 
