--- a/cmd/carawaycross/search.go
+++ b/cmd/carawaycross/search.go
@@ -33,22 +33,40 @@
 
 func (t *target) client() *client.Client { return &client.Client{Address: t.vm} }
 
-type searchCommand struct {
+// A request is what searches and bookings have in common.
+type request struct {
 	target
-	service, query, tenant, class string
-	deadline                      time.Duration
-	coverage                      float64
+	service, tenant, class string
+	deadline               time.Duration
+}
+
+func (r *request) requestFlags(s *flaggy.Subcommand) {
+	r.flags(s)
+	s.String(&r.service, "", "service", "The service's name.")
+	s.String(&r.tenant, "", "tenant", "The caller's tenant.")
+	s.String(&r.class, "", "class", "The priority class.")
+	s.Duration(&r.deadline, "", "deadline", "Time allowed, such as 200ms; the preset's default without it.")
+}
+
+// deadlineMessage returns nil for the preset's default.
+func (r *request) deadlineMessage() *durationpb.Duration {
+	if r.deadline == 0 {
+		return nil
+	}
+	return durationpb.New(r.deadline)
+}
+
+type searchCommand struct {
+	request
+	query    string
+	coverage float64
 }
 
 func (c *searchCommand) bind() *flaggy.Subcommand {
 	s := newSubcommand("search", "Search every shard of a service.",
 		"carawaycross search --vm 127.0.0.1:8080 --service route-planner --query nuts --deadline 200ms")
-	c.flags(s)
-	s.String(&c.service, "", "service", "The service to search.")
+	c.requestFlags(s)
 	s.String(&c.query, "q", "query", "The query's text.")
-	s.String(&c.tenant, "", "tenant", "The caller's tenant.")
-	s.String(&c.class, "", "class", "The priority class.")
-	s.Duration(&c.deadline, "", "deadline", "Time allowed, such as 200ms; the preset's default without it.")
 	s.Float64(&c.coverage, "", "coverage", "Wanted share of the shards, above 0 to 1; the preset's without it.")
 	return s
 }
@@ -58,9 +76,7 @@
 	defer cancel()
 	m := &schema.SearchRequest{
 		Service: c.service, Query: []byte(c.query), Tenant: c.tenant, Class: c.class, WantedCoverage: c.coverage,
-	}
-	if c.deadline != 0 {
-		m.Deadline = durationpb.New(c.deadline)
+		Deadline: c.deadlineMessage(),
 	}
 	answer, err := c.client().Search(ctx, m)
 	if err != nil {
@@ -82,21 +98,16 @@
 }
 
 type bookCommand struct {
-	target
-	service, body, tenant, class, key string
-	deadline                          time.Duration
+	request
+	body, key string
 }
 
 func (c *bookCommand) bind() *flaggy.Subcommand {
 	s := newSubcommand("book", "Send a request that runs at most once.",
 		"carawaycross book --service kitchen-desk --body 'two lunches'")
-	c.flags(s)
-	s.String(&c.service, "", "service", "The service.")
+	c.requestFlags(s)
 	s.String(&c.body, "b", "body", "The request's text.")
-	s.String(&c.tenant, "", "tenant", "The caller's tenant.")
-	s.String(&c.class, "", "class", "The priority class.")
 	s.String(&c.key, "k", "key", "The request key of an earlier send; a new ticket without it.")
-	s.Duration(&c.deadline, "", "deadline", "Time allowed; the preset's default without it.")
 	return s
 }
 
@@ -113,9 +124,7 @@
 	}
 	m := &schema.BookingRequest{
 		Service: c.service, Body: []byte(c.body), Tenant: c.tenant, Class: c.class, RequestKey: c.key,
-	}
-	if c.deadline != 0 {
-		m.Deadline = durationpb.New(c.deadline)
+		Deadline: c.deadlineMessage(),
 	}
 	answer, err := c.client().Book(ctx, m)
 	if err != nil {
