--- a/ident/ident.go
+++ b/ident/ident.go
@@ -8,6 +8,10 @@
 type (
 	// A ServiceID names a service that callers search or book.
 	ServiceID string
+	// A RouteID names a route of the operators' configuration.
+	RouteID string
+	// A RoutesVersion numbers a version of the routes; it only grows.
+	RoutesVersion uint64
 	// A ShardID numbers a shard within its service.
 	ShardID uint32
 	// A ReplicaID names one upstream process that serves one shard.
--- a/node/action.go
+++ b/node/action.go
@@ -7,6 +7,7 @@
 	"carawaycross.example/carawaycross/booking"
 	"carawaycross.example/carawaycross/coverage"
 	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/passage"
 	"carawaycross.example/carawaycross/poison"
 )
 
@@ -16,7 +17,7 @@
 // The kinds of Action.
 const (
 	// Send starts an attempt: Attempt, Query, Replica, Address, Connections,
-	// Service, Shard, Snapshot, Body, Key, Deadline, Left.
+	// Service, Shard, Snapshot, Body, Message, Once, Key, Deadline, Left.
 	Send Kind = iota
 	// Abort cancels a started attempt: Attempt.
 	Abort
@@ -44,8 +45,14 @@
 	Shard       ident.ShardID
 	Snapshot    ident.SnapshotID
 	Body        []byte
-	Key         ident.RequestKey
-	Deadline    ident.Instant
+	// Message is what passes through whole; nil for the product's own requests.
+	Message *passage.Request
+	// Once is true when the Message may run at most once.
+	Once bool
+	// Born is the life of the replica that is meant.
+	Born     ident.Incarnation
+	Key      ident.RequestKey
+	Deadline ident.Instant
 	// Left is the time from now to the deadline, for the upstream to know.
 	Left   time.Duration
 	VM     ident.VMID
@@ -75,9 +82,12 @@
 
 // A Part is the result of one shard.
 type Part struct {
+	Service ident.ServiceID
 	Shard   ident.ShardID
 	Replica ident.ReplicaID
 	Result  []byte
+	// Message is the replica's whole reply on a route.
+	Message *passage.Reply
 }
 
 // An Answer ends a query. Refusal is nil when it carries results.
@@ -94,6 +104,9 @@
 	// Repeated is true when the result of an earlier send was kept.
 	Repeated bool
 	Refusal  *Refusal
+	// Failure is a replica's own reply that is passed on although it is no
+	// success; it is set together with a Refusal.
+	Failure *passage.Reply
 }
 
 // A Refusal is an answer without results.
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -28,7 +28,8 @@
 
 func (c *Core) startFirst(now ident.Instant, q *query, i int, r *replica.State) {
 	q.firsts++
-	q.svc.budget(q.rank).First(now, q.preset.ExtraShare, q.preset.FaultExtraShare)
+	q.parts[i].svc.budget(q.rank).First(now, q.preset.ExtraShare, q.preset.FaultExtraShare)
+	q.parts[i].svc.quota.First(now)
 	c.send(now, q, i, r)
 }
 
@@ -37,6 +38,7 @@
 	c.choice = replica.Selection{
 		Now: now, Shard: &p.shard.Shard, Snapshot: q.at,
 		Tried: p.tried[:p.attempts], Random: c.config.Random,
+		Typical: q.profile.latency.Median(now),
 	}
 	return &c.choice
 }
@@ -61,28 +63,31 @@
 	return r
 }
 
-func (c *Core) spend(now ident.Instant, q *query, hedge bool) bool {
-	return c.policies.Spend.Decide(SpendQuestion{
-		Now: now, Budget: q.svc.budget(q.rank), Hedge: hedge,
-	})
+func (c *Core) spend(now ident.Instant, q *query, p *part, hedge bool) bool {
+	question := SpendQuestion{Now: now, Budget: p.svc.budget(q.rank), Hedge: hedge}
+	if p.svc.terms {
+		question.Quota = &p.svc.quota
+	}
+	return c.policies.Spend.Decide(question)
 }
 
 func (c *Core) send(now ident.Instant, q *query, i int, r *replica.State) {
 	p := &q.parts[i]
 	h := c.attempts.Put(attempt{
-		query: q.handle, part: i, replica: r, svc: q.svc, shard: p.shard, sent: now, asked: q.at,
+		query: q.handle, part: i, replica: r, svc: p.svc, profile: q.profile, shard: p.shard, sent: now, asked: q.at,
 	})
 	p.state = open
 	p.live[p.liveCount] = h
 	p.liveCount++
 	p.tried[p.attempts] = r
 	p.attempts++
-	r.InFlight++
+	r.Sent(now)
 	c.actions = append(c.actions, Action{
 		Kind: Send, Query: ident.QueryID(q.handle), Attempt: ident.AttemptID(h),
 		Replica: r.ID, Address: r.Address, Connections: r.Shares.ConnectionShare(),
-		Service: q.svc.id, Shard: r.Shard,
-		Snapshot: q.at, Body: q.arrival.Body, Key: q.arrival.Key, Deadline: q.deadline, Left: q.deadline.Sub(now),
+		Service: p.svc.id, Shard: r.Shard, Born: r.Born,
+		Snapshot: q.at, Body: q.arrival.Body, Message: q.arrival.Message, Once: !q.repeatable(),
+		Key: q.arrival.Key, Deadline: q.deadline, Left: q.deadline.Sub(now),
 	})
 }
 
@@ -91,7 +96,7 @@
 	p := &q.parts[i]
 	p.state = waiting
 	evicted, full := p.shard.waiting.Push(q.rank, waiter{q.handle, i})
-	c.wakeShard(now, q.svc, p.shard)
+	c.wakeShard(now, p.svc, p.shard)
 	if !full {
 		return
 	}
@@ -103,7 +108,7 @@
 // evict ends a part that lost its place in a queue. A search of which nothing
 // was sent yet is refused whole: the rest of it would only take other's places.
 func (c *Core) evict(now ident.Instant, q *query, i int) {
-	if q.arrival.Key == "" && q.firsts == 0 && !q.answered {
+	if q.arrival.Key == "" && q.firsts == 0 && !q.answered && q.arrival.Route == nil {
 		c.refuse(now, q, booking.NotRun, admission.TooMany, "")
 		return
 	}
@@ -160,6 +165,11 @@
 }
 
 func (c *Core) park(now ident.Instant, q *query, i int) {
+	if q.late {
+		// The budget had no room while the part could still come in time.
+		c.giveUp(now, q, i, coverage.Overload)
+		return
+	}
 	q.parts[i].state = parked
 	c.timers.Add(now.Add(parkedRetry), timer{kind: retryTimer, query: q.handle, part: i})
 }
@@ -202,15 +212,16 @@
 // observe records what the end of an attempt tells of its replica.
 func (c *Core) observe(now ident.Instant, a *attempt, reply *Reply) {
 	r := a.replica
-	r.InFlight--
+	r.Ended(a.sent)
 	if reply.Held.Known() && reply.Held != r.Held {
 		r.Held = reply.Held
 		a.svc.stale = true
 	}
 	r.ReportedLoad = reply.Load
 	took := now.Sub(a.sent)
+	r.Rate(now, replica.Rating{Outcome: reply.Outcome, Took: took, Typical: a.profile.latency.Median(now)})
 	if reply.Outcome == replica.OK {
-		a.svc.latency.Record(now, took)
+		a.profile.latency.Record(now, took)
 		a.shard.Done(now)
 	}
 	if reply.Outcome == replica.Shed {
@@ -229,7 +240,7 @@
 }
 
 func (c *Core) sample(now ident.Instant, a *attempt, o replica.Outcome, took time.Duration) replica.Sample {
-	latency := &a.svc.latency
+	latency := &a.profile.latency
 	return c.policies.Evidence.Decide(replica.Sample{
 		Outcome: o, Took: took, Base: latency.Base(now),
 		Slow:     slowFactor * latency.Median(now),
@@ -255,25 +266,55 @@
 	c.actions = append(c.actions, Action{Kind: Tell, News: n})
 }
 
+// leavePart ends a part's interest in its attempts in flight. They may run on
+// for a while: their connections are kept, and their ends are evidence.
+func (c *Core) leavePart(now ident.Instant, q *query, i int) {
+	linger := time.Duration(0)
+	if !q.gone {
+		linger = c.policies.Linger.Decide(LingerQuestion{Route: q.arrival.Route})
+	}
+	if linger == 0 {
+		c.abortPart(now, q, i)
+		return
+	}
+	p := &q.parts[i]
+	for p.liveCount > 0 {
+		p.liveCount--
+		h := p.live[p.liveCount]
+		c.attempts.Get(h).query = 0
+		c.timers.Add(now.Add(linger), timer{kind: lingerTimer, attempt: h})
+	}
+}
+
 // abortPart cancels the part's attempts in flight.
 func (c *Core) abortPart(now ident.Instant, q *query, i int) {
 	p := &q.parts[i]
 	for p.liveCount > 0 {
-		h := p.live[p.liveCount-1]
 		p.liveCount--
-		a := *c.attempts.Get(h)
-		c.attempts.Free(h)
-		a.replica.InFlight--
-		took := now.Sub(a.sent)
-		if median := a.svc.latency.Median(now); median > 0 && took >= median {
-			a.svc.latency.Record(now, took)
-		}
-		if a.replica.Observe(now, c.sample(now, &a, replica.Aborted, took)) {
-			a.svc.stale = true
-		}
-		c.actions = append(c.actions, Action{Kind: Abort, Attempt: ident.AttemptID(h)})
-		if a.shard.waiting.Len() > 0 {
-			c.wakeShard(now, a.svc, a.shard)
-		}
+		c.abort(now, p.live[p.liveCount])
+	}
+}
+
+// abort cancels one attempt, unless it has ended.
+func (c *Core) abort(now ident.Instant, h container.Handle) {
+	at := c.attempts.Get(h)
+	if at == nil {
+		return
+	}
+	a := *at
+	c.attempts.Free(h)
+	a.replica.Ended(a.sent)
+	took := now.Sub(a.sent)
+	median := a.profile.latency.Median(now)
+	a.replica.Rate(now, replica.Rating{Outcome: replica.Aborted, Took: took, Typical: median})
+	if median > 0 && took >= median {
+		a.profile.latency.Record(now, took)
+	}
+	if a.replica.Observe(now, c.sample(now, &a, replica.Aborted, took)) {
+		a.svc.stale = true
+	}
+	c.actions = append(c.actions, Action{Kind: Abort, Attempt: ident.AttemptID(h)})
+	if a.shard.waiting.Len() > 0 {
+		c.wakeShard(now, a.svc, a.shard)
 	}
 }
--- a/node/booking.go
+++ b/node/booking.go
@@ -83,7 +83,7 @@
 	}
 	id := m.Shards[int(booking.RangeOf(q.arrival.Key))%len(m.Shards)]
 	q.at, q.pinned = 0, *m
-	q.parts = append(q.parts[:0], part{shard: q.svc.shards[id]})
+	q.parts = append(q.parts[:0], part{svc: q.svc, shard: q.svc.shards[id]})
 	q.unsettled = 1
 	c.first(now, q, 0)
 	if h := q.handle; h != 0 && !q.answered && len(q.parts) > 0 && q.parts[0].state == missing {
--- a/node/core.go
+++ b/node/core.go
@@ -10,6 +10,7 @@
 	"carawaycross.example/carawaycross/ident"
 	"carawaycross.example/carawaycross/poison"
 	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/route"
 	"carawaycross.example/carawaycross/view"
 )
 
@@ -23,6 +24,8 @@
 	massLossUpstreams = 3
 	massLossSpan      = time.Second
 	breaksKept        = 64
+	mostProfiles      = 1000
+	phases            = 1000
 	// slowFactor times the median is slow, if the hedge delay is not longer.
 	slowFactor = 2
 )
@@ -43,6 +46,8 @@
 	hedgeTimer
 	retryTimer
 	shardTimer
+	goalTimer
+	lingerTimer
 )
 
 type timer struct {
@@ -51,6 +56,8 @@
 	part  int
 	svc   *service
 	shard *shard
+	// Attempt is that of a lingerTimer.
+	attempt container.Handle
 }
 
 type breakage struct {
@@ -70,6 +77,11 @@
 	timers   container.Timers[timer]
 	ledger   *booking.Ledger
 	poison   poison.Register
+	// Profiles has at most mostProfiles entries, one a route.
+	profiles map[ident.RouteID]*profile
+	splits   route.Splits
+	// Phase, 0 to 1, shifts the order in which splits begin.
+	phase float64
 	// Breaks are the latest losses of upstreams with an attempt in flight.
 	breaks *container.Ring[breakage]
 	// Running maps the key of each dispatched booking to its query.
@@ -95,6 +107,8 @@
 		ledger:   booking.NewLedger(config.VM, config.Incarnation),
 		running:  map[ident.RequestKey]container.Handle{},
 		breaks:   container.NewRing[breakage](breaksKept),
+		profiles: map[ident.RouteID]*profile{},
+		phase:    float64(config.Random.IntN(phases)) / phases,
 	}
 }
 
@@ -159,6 +173,10 @@
 		c.arriveBooking(now, q)
 		return ident.QueryID(h)
 	}
+	if q.target != nil {
+		c.startPassing(now, q)
+		return ident.QueryID(h)
+	}
 	c.startSearch(now, q)
 	return ident.QueryID(h)
 }
@@ -187,6 +205,9 @@
 	if c.view.Out && !q.arrival.Relayed {
 		return admission.OutOfUse, "operators took this VM out"
 	}
+	if q.arrival.Route != nil {
+		return c.passageRefusal(now, q)
+	}
 	q.svc = c.services[q.arrival.Service]
 	if q.svc == nil {
 		return admission.NoService, "no service of this name in this deployment"
@@ -196,6 +217,7 @@
 	if limit == 0 {
 		limit = p.DefaultDeadline
 	}
+	q.profile, q.least, q.allowed = &q.svc.profile, p.LeastCoverage, p.AttemptsPerShard
 	if limit < 0 || limit > p.LongestDeadline {
 		return admission.BadDeadline, "allowed: above 0, at most " + p.LongestDeadline.String()
 	}
@@ -222,7 +244,7 @@
 }
 
 func (c *Core) admit(now ident.Instant, q *query) admission.Reason {
-	median := q.svc.latency.Median(now)
+	median := q.profile.latency.Median(now)
 	var wait time.Duration
 	full := false
 	for _, sh := range q.svc.shards {
@@ -232,7 +254,7 @@
 	return c.policies.Admit.Decide(admission.Request{
 		Rank: q.rank, Ranks: len(q.preset.Classes),
 		InFlight: c.admitted, Most: q.preset.QueriesInFlight, QueueFull: full,
-		Wait: wait, Typical: max(median, q.svc.latency.Delay(now)), Left: q.deadline.Sub(now),
+		Wait: wait, Typical: max(median, q.profile.latency.Delay(now)), Left: q.deadline.Sub(now),
 	})
 }
 
@@ -243,6 +265,7 @@
 	if q == nil || q.answered {
 		return
 	}
+	q.gone = true
 	c.expire(now, q)
 }
 
@@ -260,10 +283,15 @@
 		if !ok {
 			return
 		}
-		if t.kind == shardTimer {
+		switch t.kind {
+		case shardTimer:
 			t.shard.waking = false
 			c.serveWaiting(now, t.svc, t.shard)
 			continue
+		case lingerTimer:
+			c.abort(now, t.attempt)
+			continue
+		case deadlineTimer, hedgeTimer, retryTimer, goalTimer:
 		}
 		q := c.query(ident.QueryID(t.query))
 		if q == nil {
@@ -276,7 +304,9 @@
 			c.hedge(now, q)
 		case retryTimer:
 			c.resume(now, q, t.part)
-		case shardTimer:
+		case goalTimer:
+			c.passGoal(now, q)
+		case shardTimer, lingerTimer:
 		}
 	}
 }
@@ -296,8 +326,11 @@
 
 func (c *Core) refuse(now ident.Instant, q *query, o booking.Outcome, r admission.Reason, detail string) {
 	a := &Answer{Refusal: &Refusal{Outcome: o, Reason: r, Detail: detail}}
-	if q.svc != nil && (r == admission.TooMany || r == admission.CannotMeet) {
-		a.Refusal.RetryAfter = max(q.svc.latency.Median(now), time.Millisecond)
+	switch {
+	case q.arrival.Route != nil:
+		a.Refusal.RetryAfter = c.returnAfter(now, q, r)
+	case q.svc != nil && (r == admission.TooMany || r == admission.CannotMeet):
+		a.Refusal.RetryAfter = max(q.profile.latency.Median(now), time.Millisecond)
 	}
 	c.finish(now, q, a)
 }
@@ -326,7 +359,7 @@
 func (c *Core) release(now ident.Instant, q *query) {
 	c.endBooking(q)
 	for i := range q.parts {
-		c.abortPart(now, q, i)
+		c.leavePart(now, q, i)
 	}
 	c.queries.Free(q.handle)
 	q.reset()
--- a/node/event.go
+++ b/node/event.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/passage"
 	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/route"
 	"carawaycross.example/carawaycross/snapshot"
 )
 
@@ -24,6 +26,11 @@
 	// Snapshot is the one that the answer must be of, when the asker is an entry
 	// node that pinned it; 0 lets the core choose.
 	Snapshot ident.SnapshotID
+	// Route is set for a request that passes through whole; the fields Service,
+	// Body, WantedCoverage, Key and Snapshot are then unused.
+	Route *route.Route
+	// Message is what passes through on a Route.
+	Message *passage.Request
 	// Relayed is true when another VM forwarded the request; it is then never
 	// forwarded again.
 	Relayed bool
@@ -43,6 +50,8 @@
 	Draining bool
 	// Load is the upstream's own report.
 	Load uint32
+	// Message is the replica's whole reply on a Route; nil without one.
+	Message *passage.Reply
 	// MissingBelow lists shards without a result below an inner node.
 	MissingBelow []ident.ShardID
 }
--- /dev/null
+++ b/node/passing.go
@@ -0,0 +1,290 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"carawaycross.example/carawaycross/admission"
+	"carawaycross.example/carawaycross/booking"
+	"carawaycross.example/carawaycross/coverage"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/replica"
+)
+
+// Reasons of refused passing requests, besides those of package admission.
+const (
+	upstreamFailed admission.Reason = "upstream-failed"
+	tooLate        admission.Reason = "deadline-passed"
+	tooFewShards   admission.Reason = "coverage-too-low"
+)
+
+const (
+	// answerTravel is the part of a route's goal that is kept for the way to
+	// the caller and back and for writing the answer.
+	answerTravel = 12 * time.Millisecond
+	// unreachableReturn is when a caller may come back who found no replica:
+	// the first interval after which a lost replica is tried again.
+	unreachableReturn = 300 * time.Millisecond
+)
+
+// repeatable reports whether the query may run more than once.
+func (q *query) repeatable() bool {
+	if q.arrival.Route != nil {
+		return q.arrival.Route.Repeatable
+	}
+	return q.arrival.Key == ""
+}
+
+// passageRefusal checks a new request on a route, fills in what the route
+// decides, and returns why it is refused.
+func (c *Core) passageRefusal(now ident.Instant, q *query) (admission.Reason, string) {
+	r := q.arrival.Route
+	p := &c.view.Preset
+	q.preset = p
+	q.profile = c.profile(r.Name)
+	q.target = c.splits.Next(r, c.phase)
+	limit := q.arrival.Deadline
+	if limit == 0 {
+		limit = p.LongestDeadline
+	}
+	if r.Timeout > 0 {
+		limit = min(limit, r.Timeout)
+	}
+	if limit <= 0 {
+		return admission.CannotMeet, "no time was left"
+	}
+	q.deadline = now.Add(limit)
+	q.wanted, q.least = 1, 1
+	if r.Gather {
+		q.least = r.LeastCoverage
+	}
+	q.rank = min(max(r.Rank, 0), max(len(p.Classes)-1, 0))
+	q.allowed = min(max(r.Attempts, 1), preset.MostAttempts)
+	if !q.repeatable() {
+		q.allowed = 1
+	}
+	c.pinTarget(q)
+	return c.admitPassing(now, q)
+}
+
+// pinTarget makes one part for each service of the target.
+func (c *Core) pinTarget(q *query) {
+	clear(q.parts)
+	q.parts = q.parts[:0]
+	for _, id := range q.target.Services {
+		svc := c.services[id]
+		p := part{svc: svc}
+		if svc != nil && len(svc.order) > 0 {
+			p.shard = svc.shards[svc.order[0]]
+		}
+		q.parts = append(q.parts, p)
+	}
+	q.unsettled, q.coveredCount = len(q.parts), 0
+}
+
+// admitPassing refuses a request that surely cannot be served.
+func (c *Core) admitPassing(now ident.Instant, q *query) (admission.Reason, string) {
+	median := q.profile.latency.Median(now)
+	waits := make([]time.Duration, 0, len(q.parts))
+	room := 0
+	for i := range q.parts {
+		sh := q.parts[i].shard
+		if sh == nil || sh.Usable(now) == 0 {
+			continue
+		}
+		waits = append(waits, sh.Wait(now, sh.waiting.Ahead(q.rank), median))
+		if sh.waiting.Room(q.rank) {
+			room++
+		}
+	}
+	needed := q.needed()
+	if len(waits) < needed {
+		return noUpstream, "too few shards have a replica that may be used"
+	}
+	slices.SortFunc(waits, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+	return c.policies.Admit.Decide(admission.Request{
+		Rank: q.rank, Ranks: len(q.preset.Classes),
+		InFlight: c.admitted, Most: q.preset.QueriesInFlight, QueueFull: room < needed,
+		Wait: waits[needed-1], Typical: max(median, q.profile.latency.Delay(now)), Left: q.deadline.Sub(now),
+	}), ""
+}
+
+// needed returns the least number of parts that an answer holds, at least one.
+func (q *query) needed() int {
+	n := len(q.parts)
+	for k := 1; k < n; k++ {
+		if float64(k) >= float64(q.least)*float64(n) {
+			return k
+		}
+	}
+	return max(n, 1)
+}
+
+// covers reports whether the parts that have come are the share of all.
+func (q *query) covers(share ident.Share) bool {
+	return float64(q.coveredCount) >= float64(share)*float64(len(q.parts))
+}
+
+func (c *Core) profile(id ident.RouteID) *profile {
+	p := c.profiles[id]
+	if p != nil {
+		return p
+	}
+	if len(c.profiles) >= mostProfiles {
+		clear(c.profiles)
+	}
+	p = &profile{}
+	c.profiles[id] = p
+	return p
+}
+
+func (c *Core) startPassing(now ident.Instant, q *query) {
+	h := q.handle
+	for i := range q.parts {
+		c.first(now, q, i)
+		if c.queries.Get(h) == nil {
+			return
+		}
+	}
+	c.armHedge(now, q)
+	if r := q.arrival.Route; r.Gather && r.Goal > answerTravel {
+		if at := q.started.Add(r.Goal - answerTravel); at < q.deadline {
+			c.timers.Add(at, timer{kind: goalTimer, query: h})
+		}
+	}
+}
+
+// passGoal answers a gathering query at its goal with the parts that have come,
+// if they are the least share: a later answer is worth a small part of one in
+// time, and the missing shards cost at most the square of the share. Otherwise
+// the query is answered as soon as the least share is there.
+func (c *Core) passGoal(now ident.Instant, q *query) {
+	if q.answered {
+		return
+	}
+	q.late = true
+	if q.coveredCount > 0 && q.covers(q.least) {
+		c.finishSearch(now, q)
+	}
+}
+
+// decided reports whether the end of a query on a route is known before each of
+// its parts has settled.
+func (c *Core) decided(q *query) bool {
+	if q.arrival.Route == nil {
+		return false
+	}
+	if q.late && q.coveredCount > 0 && q.covers(q.least) {
+		return true
+	}
+	return q.coveredCount+q.unsettled < q.needed()
+}
+
+// passed decides what follows from the end of an attempt on a route.
+func (c *Core) passed(now ident.Instant, q *query, a *attempt, reply *Reply) {
+	p := &q.parts[a.part]
+	switch {
+	case reply.Outcome == replica.OK:
+		p.result, p.by, p.message = reply.Result, a.replica.ID, reply.Message
+		c.settle(now, q, a.part, covered, coverage.None)
+		return
+	case reply.Outcome == replica.Failed:
+		q.failure = reply.Message
+	case reply.Outcome == replica.Unsent:
+		p.svc.quota.Refund(now)
+	}
+	reason := reasonOf(reply.Outcome)
+	if !q.repeatable() && !reply.Outcome.NotRun() {
+		c.settle(now, q, a.part, missing, reason)
+		return
+	}
+	c.retry(now, q, a.part, reason)
+}
+
+func reasonOf(o replica.Outcome) coverage.Reason {
+	switch o {
+	case replica.Failed:
+		return coverage.Failed
+	case replica.Broken, replica.Unsent, replica.Misdirected:
+		return coverage.Lost
+	default:
+		return coverage.Overload
+	}
+}
+
+// untouched reports whether no replica ran anything of the query, and none will.
+func (q *query) untouched() bool {
+	for i := range q.parts {
+		if q.parts[i].attempts != q.parts[i].notRun {
+			return false
+		}
+	}
+	return true
+}
+
+// finishPassing answers a query on a route with the parts that have come, or
+// says why there are too few.
+func (c *Core) finishPassing(now ident.Instant, q *query) {
+	a := &Answer{Parts: make([]Part, 0, q.coveredCount)}
+	for i := range q.parts {
+		p := &q.parts[i]
+		if p.state != covered {
+			a.Coverage.Missing = append(a.Coverage.Missing, coverage.Missing{Shard: ident.ShardID(i), Reason: p.whyMissing()})
+			continue
+		}
+		a.Parts = append(a.Parts, Part{Service: p.svc.id, Replica: p.by, Result: p.result, Message: p.message})
+		a.Coverage.Covered = append(a.Coverage.Covered, ident.ShardID(i))
+	}
+	if q.coveredCount == 0 || !q.covers(q.least) {
+		c.refuseFinished(now, q, a)
+	}
+	c.finish(now, q, a)
+}
+
+// refuseFinished turns an answer with too few parts into a refusal.
+func (c *Core) refuseFinished(now ident.Instant, q *query, a *Answer) {
+	reason := admission.Reason(tooFewShards)
+	first := a.Coverage.Missing[0].Reason
+	switch {
+	case now >= q.deadline || first == coverage.Late:
+		reason = tooLate
+	case first == coverage.Failed || first == coverage.Lost:
+		reason = upstreamFailed
+	case first == coverage.Overload:
+		reason = admission.TooMany
+	case first == coverage.NoReplica:
+		reason = noUpstream
+	}
+	a.Refusal = &Refusal{Outcome: booking.MayHaveRun, Reason: reason, Detail: string(first)}
+	if q.untouched() {
+		a.Refusal.Outcome = booking.NotRun
+		a.Refusal.RetryAfter = c.returnAfter(now, q, reason)
+		return
+	}
+	if !q.arrival.Route.Gather {
+		a.Failure = q.failure
+	}
+}
+
+// returnAfter tells a refused caller when to come back: once the queue that
+// turned it away has gone, or a lost replica is tried again, spread by half to
+// either side so that callers do not return together.
+func (c *Core) returnAfter(now ident.Instant, q *query, r admission.Reason) time.Duration {
+	wait := unreachableReturn
+	if r == admission.TooMany || r == admission.CannotMeet {
+		wait = max(2*q.profile.latency.Median(now), q.longestWait(now), time.Millisecond)
+	}
+	return wait/2 + time.Duration(float64(wait)*float64(c.config.Random.IntN(phases))/phases)
+}
+
+func (q *query) longestWait(now ident.Instant) time.Duration {
+	var longest time.Duration
+	for i := range q.parts {
+		if sh := q.parts[i].shard; sh != nil {
+			longest = max(longest, sh.Wait(now, sh.waiting.Ahead(q.rank), q.profile.latency.Median(now)))
+		}
+	}
+	return longest
+}
--- a/node/policies.go
+++ b/node/policies.go
@@ -8,6 +8,7 @@
 	"carawaycross.example/carawaycross/policy"
 	"carawaycross.example/carawaycross/replica"
 	"carawaycross.example/carawaycross/retry"
+	"carawaycross.example/carawaycross/route"
 )
 
 // A HedgeQuestion is the input of a hedge delay.
@@ -15,12 +16,23 @@
 	Now      ident.Instant
 	Latency  *retry.Latency
 	Quantile ident.Share
+	// Route is the request's; nil for the product's own.
+	Route *route.Route
+}
+
+// A LingerQuestion is the input of a decision on an attempt whose result is no
+// longer wanted.
+type LingerQuestion struct {
+	// Route is the request's; nil for the product's own.
+	Route *route.Route
 }
 
 // A SpendQuestion is the input of a decision on one extra attempt.
 type SpendQuestion struct {
 	Now    ident.Instant
 	Budget *retry.Budget
+	// Quota is set where the service's terms replace the budget.
+	Quota *retry.Quota
 	// Hedge is true for a hedge, false for a retry of a failed attempt.
 	Hedge bool
 }
@@ -43,6 +55,9 @@
 	Spend policy.Policy[SpendQuestion, bool]
 	// Eject reports whether a slow replica may be passed over for a while.
 	Eject policy.Policy[EjectQuestion, bool]
+	// Linger returns how long an unwanted attempt runs on before it is
+	// cancelled; 0 to cancel it at once.
+	Linger policy.Policy[LingerQuestion, time.Duration]
 	// Evidence returns what the end of an attempt tells of its replica.
 	Evidence policy.Policy[replica.Sample, replica.Sample]
 }
@@ -55,10 +70,23 @@
 		HedgeDelay: policy.Func[HedgeQuestion, time.Duration](quantileDelay),
 		Spend:      policy.Func[SpendQuestion, bool](fromBudget),
 		Eject:      policy.Func[EjectQuestion, bool](boundedEjection),
+		Linger:     policy.Func[LingerQuestion, time.Duration](cancelAtOnce),
 		Evidence:   policy.Func[replica.Sample, replica.Sample](allEvidence),
 	}
 }
 
+// Passing returns the policies for requests that pass through whole to replicas
+// that pause, slow down and lose answers, but bear load.
+func Passing() Policies {
+	p := Defaults()
+	p.Choice = replica.Soonest{}
+	p.HedgeDelay = policy.Func[HedgeQuestion, time.Duration](delayWithinGoal)
+	p.Eject = policy.Func[EjectQuestion, bool](func(EjectQuestion) bool { return false })
+	p.Linger = policy.Func[LingerQuestion, time.Duration](lingerBriefly)
+	p.Evidence = policy.Func[replica.Sample, replica.Sample](lostWhenUnreachable)
+	return p
+}
+
 // Baseline returns the naive policies that measurements compare with: a random
 // replica, no hedges, retries without a budget, no ejection, and no heed of
 // replicas that are cold, lost or shedding.
@@ -90,6 +118,9 @@
 	if p.Eject == nil {
 		p.Eject = d.Eject
 	}
+	if p.Linger == nil {
+		p.Linger = d.Linger
+	}
 	if p.Evidence == nil {
 		p.Evidence = d.Evidence
 	}
@@ -114,7 +145,53 @@
 	return min(delay, slowFactor*q.Latency.Median(q.Now))
 }
 
+const (
+	// goalPart of the goal passes before a hedge, where replies are not slower
+	// than that: the second attempt then has most of the goal left.
+	goalPart = 0.25
+	// typicalParts of the median pass at the least.
+	typicalParts = 1.5
+	// lingerFor is how long an unwanted attempt runs on. It outlasts a pause of
+	// a replica, and ends well before callers that left must be forgotten.
+	lingerFor = 250 * time.Millisecond
+)
+
+// delayWithinGoal waits for the latency quantile, or for a part of the goal if
+// that is earlier, but longer than most replies take.
+func delayWithinGoal(q HedgeQuestion) time.Duration {
+	if q.Route == nil || q.Route.Goal == 0 {
+		return quantileDelay(q)
+	}
+	part := time.Duration(goalPart * float64(q.Route.Goal))
+	quantile := q.Latency.Quantile(q.Now, q.Quantile)
+	if quantile == 0 {
+		return part
+	}
+	return min(quantile, max(part, time.Duration(typicalParts*float64(q.Latency.Median(q.Now)))))
+}
+
+func cancelAtOnce(LingerQuestion) time.Duration { return 0 }
+
+func lingerBriefly(q LingerQuestion) time.Duration {
+	if q.Route == nil {
+		return 0
+	}
+	return lingerFor
+}
+
+// lostWhenUnreachable takes a broken connection as a lost answer: only a replica
+// to which no connection can be made is lost.
+func lostWhenUnreachable(s replica.Sample) replica.Sample {
+	if s.Outcome == replica.Broken {
+		s.Outcome = replica.Gone
+	}
+	return s
+}
+
 func fromBudget(q SpendQuestion) bool {
+	if q.Quota != nil {
+		return q.Quota.Spend(q.Now, q.Hedge)
+	}
 	if q.Hedge {
 		return q.Budget.Hedge(q.Now)
 	}
--- a/node/query.go
+++ b/node/query.go
@@ -4,9 +4,11 @@
 	"carawaycross.example/carawaycross/container"
 	"carawaycross.example/carawaycross/coverage"
 	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/passage"
 	"carawaycross.example/carawaycross/poison"
 	"carawaycross.example/carawaycross/preset"
 	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/route"
 	"carawaycross.example/carawaycross/snapshot"
 )
 
@@ -31,6 +33,7 @@
 
 // A part is one shard's share of a query.
 type part struct {
+	svc    *service
 	shard  *shard
 	state  partState
 	reason coverage.Reason
@@ -44,7 +47,9 @@
 	notRun int
 	by     ident.ReplicaID
 	result []byte
-	below  []ident.ShardID
+	// Message is the whole reply of a covered part on a route.
+	message *passage.Reply
+	below   []ident.ShardID
 }
 
 func (p *part) settled() bool { return p.state == covered || p.state == missing }
@@ -69,6 +74,7 @@
 	part    int
 	replica *replica.State
 	svc     *service
+	profile *profile
 	shard   *shard
 	sent    ident.Instant
 	// Asked is the snapshot asked for; 0 for the newest that the replica holds.
@@ -77,14 +83,28 @@
 
 // A query is one request in progress.
 type query struct {
-	handle   container.Handle
-	arrival  Arrival
-	svc      *service
+	handle  container.Handle
+	arrival Arrival
+	svc     *service
+	// Profile follows the latency of requests of this kind.
+	profile *profile
+	// Target is the part of a route's split that the query goes to; nil for the
+	// product's own requests.
+	target   *route.Target
 	preset   *preset.Preset
 	rank     int
 	started  ident.Instant
 	deadline ident.Instant
-	wanted   ident.Share
+	// Wanted coverage ends the query; least is the least that is answered.
+	wanted, least ident.Share
+	// Allowed attempts of a part may have run.
+	allowed int
+	// Late is true once the route's goal is out of reach for what is missing.
+	late bool
+	// Gone is true once the caller went away.
+	gone bool
+	// Failure is the last reply of a replica that ran the request and failed.
+	failure *passage.Reply
 	// Pinned is the one snapshot of all parts; it changes only in restart.
 	pinned snapshot.Map
 	at     ident.SnapshotID
--- a/node/report.go
+++ b/node/report.go
@@ -60,7 +60,7 @@
 
 func (c *Core) reportService(now ident.Instant, svc *service) ServiceReport {
 	at, m := svc.choose(now)
-	r := ServiceReport{ID: svc.id, Snapshot: at, Median: svc.latency.Median(now)}
+	r := ServiceReport{ID: svc.id, Snapshot: at, Median: svc.profile.latency.Median(now)}
 	if m == nil {
 		return r
 	}
--- a/node/retry.go
+++ b/node/retry.go
@@ -19,6 +19,10 @@
 	if p.settled() || q.answered {
 		return
 	}
+	if q.arrival.Route != nil {
+		c.passed(now, q, a, reply)
+		return
+	}
 	switch reply.Outcome {
 	case replica.OK:
 		c.result(now, q, a, reply)
@@ -61,7 +65,7 @@
 // asked for no certain snapshot is asked again for the pinned one.
 func (c *Core) mismatched(now ident.Instant, q *query, a *attempt) {
 	p := &q.parts[a.part]
-	if a.asked == 0 && p.liveCount == 0 && !p.spent(q.preset.AttemptsPerShard) {
+	if a.asked == 0 && p.liveCount == 0 && !p.spent(q.allowed) {
 		if r := c.choose(now, q, p, true); r != nil {
 			q.extra++
 			c.send(now, q, a.part, r)
@@ -111,7 +115,7 @@
 		return
 	}
 	switch {
-	case p.spent(q.preset.AttemptsPerShard):
+	case p.spent(q.allowed):
 		c.giveUp(now, q, i, reason)
 	case p.shard.Usable(now) == 0:
 		c.giveUp(now, q, i, coverage.NoReplica)
@@ -132,7 +136,7 @@
 
 // retryAt sends a retry, or parks the part until the budget allows one.
 func (c *Core) retryAt(now ident.Instant, q *query, i int, r *replica.State) {
-	if !c.spend(now, q, false) {
+	if !c.spend(now, q, &q.parts[i], false) {
 		c.park(now, q, i)
 		return
 	}
--- a/node/search.go
+++ b/node/search.go
@@ -26,7 +26,7 @@
 	clear(q.parts)
 	q.parts = q.parts[:0]
 	for _, id := range m.Shards {
-		q.parts = append(q.parts, part{shard: q.svc.shards[id]})
+		q.parts = append(q.parts, part{svc: q.svc, shard: q.svc.shards[id]})
 	}
 	q.unsettled, q.coveredCount = len(q.parts), 0
 }
@@ -72,16 +72,16 @@
 
 // hedge sends a second attempt for parts that take longer than most.
 func (c *Core) hedge(now ident.Instant, q *query) {
-	if q.answered || q.arrival.Key != "" {
+	if q.answered || !q.repeatable() {
 		return
 	}
 	for i := range q.parts {
 		p := &q.parts[i]
-		if p.state != open || p.liveCount == 0 || p.spent(q.preset.AttemptsPerShard) {
+		if p.state != open || p.liveCount == 0 || p.spent(q.allowed) {
 			continue
 		}
 		r := c.chooseHedge(now, q, p)
-		if r == nil || !c.spend(now, q, true) {
+		if r == nil || !c.spend(now, q, p, true) {
 			continue
 		}
 		q.extra++
@@ -92,7 +92,7 @@
 
 func (c *Core) armHedge(now ident.Instant, q *query) {
 	delay := c.policies.HedgeDelay.Decide(HedgeQuestion{
-		Now: now, Latency: &q.svc.latency, Quantile: q.preset.HedgeQuantile,
+		Now: now, Latency: &q.profile.latency, Quantile: q.preset.HedgeQuantile, Route: q.arrival.Route,
 	})
 	if at := now.Add(delay); delay > 0 && at < q.deadline {
 		c.timers.Add(at, timer{kind: hedgeTimer, query: q.handle})
@@ -105,7 +105,7 @@
 	if p.settled() {
 		return
 	}
-	c.abortPart(now, q, i)
+	c.leavePart(now, q, i)
 	p.state, p.reason = s, reason
 	q.unsettled--
 	if s == covered {
@@ -121,14 +121,17 @@
 			return
 		}
 	}
-	enough := float64(q.coveredCount) >= float64(q.wanted)*float64(len(q.parts))
-	if q.unsettled == 0 || (enough && q.coveredCount > 0) {
+	if q.unsettled == 0 || (q.coveredCount > 0 && q.covers(q.wanted)) || c.decided(q) {
 		c.finishSearch(now, q)
 	}
 }
 
 // finishSearch answers with the parts that have come.
 func (c *Core) finishSearch(now ident.Instant, q *query) {
+	if q.arrival.Route != nil {
+		c.finishPassing(now, q)
+		return
+	}
 	if q.crashes > 0 && q.broke && q.coveredCount == 0 {
 		q.crashes = 1
 		c.crashed(now, q)
@@ -149,7 +152,7 @@
 			a.Coverage.Missing = append(a.Coverage.Missing, coverage.Missing{Shard: below, Reason: coverage.Below})
 		}
 	}
-	if len(q.parts) > 0 && a.Coverage.Share() < q.preset.LeastCoverage {
+	if len(q.parts) > 0 && a.Coverage.Share() < q.least {
 		a.Refusal = &Refusal{Outcome: booking.MayHaveRun, Reason: "coverage-too-low"}
 		if q.firsts == 0 {
 			a.Refusal.Outcome = booking.NotRun
@@ -173,7 +176,7 @@
 // old snapshot are dropped: an answer never mixes two.
 func (c *Core) restart(now ident.Instant, q *query) bool {
 	at, m := q.svc.choose(now)
-	median := q.svc.latency.Median(now)
+	median := q.profile.latency.Median(now)
 	if q.restarted || q.arrival.Snapshot != 0 || m == nil || at == 0 || at == q.at || q.deadline.Sub(now) < 2*median {
 		return false
 	}
--- a/node/service.go
+++ b/node/service.go
@@ -28,7 +28,10 @@
 	shards map[ident.ShardID]*shard
 	// Order holds the keys of shards in the order of their first replica.
 	order   []ident.ShardID
-	latency retry.Latency
+	profile profile
+	// Quota bounds the extra attempts where the view sets terms; else budgets do.
+	quota retry.Quota
+	terms bool
 	// Budgets are indexed by the class's rank.
 	budgets []retry.Budget
 	// Pinned caches the choice of snapshot until evidence changes.
@@ -38,6 +41,11 @@
 	ranges    []snapshot.Range
 }
 
+// A profile follows the latency of the requests of one kind.
+type profile struct {
+	latency retry.Latency
+}
+
 func newService(id ident.ServiceID) *service {
 	return &service{id: id, shards: map[ident.ShardID]*shard{}, stale: true}
 }
@@ -65,6 +73,8 @@
 func (s *service) install(now ident.Instant, v *view.View, vs *view.Service) {
 	s.maps = vs.Maps
 	s.stale = true
+	s.terms = vs.Terms.Set()
+	s.quota.Install(vs.Terms, v.VMs)
 	if n := len(v.Preset.Classes); len(s.budgets) != n {
 		s.budgets = make([]retry.Budget, max(n, 1))
 	}
@@ -78,8 +88,8 @@
 	for i := range vs.Replicas {
 		vr := &vs.Replicas[i]
 		r := known[vr.ID]
-		if r == nil {
-			r = &replica.State{ID: vr.ID}
+		if r == nil || r.Born != vr.Born {
+			r = &replica.State{ID: vr.ID, Born: vr.Born}
 		}
 		s.update(now, v, vs, vr, r)
 		sh := s.shard(vr.Shard, v.Preset.QueueLength, len(v.Preset.Classes))
@@ -92,9 +102,16 @@
 	r.Local = vr.Zone == v.Zone
 	returned := r.Out && !vr.Out
 	r.Out = vr.Out
+	r.ColdUntil = vr.ColdUntil
 	r.Shares = replica.Shares{
 		Slots: vs.Slots, Connections: vs.Connections,
-		VMs: v.VMs, Rank: vr.Rank, RampStep: v.Preset.RampStep,
+		VMs: v.VMs, Rank: vr.Rank, RampStep: v.Preset.RampStep, ColdRate: vs.ColdRate,
+	}
+	if vr.Slots > 0 {
+		r.Shares.Slots = vr.Slots
+	}
+	if vs.RampStep > 0 {
+		r.Shares.RampStep = vs.RampStep
 	}
 	if vr.Leaving {
 		r.Leave(now)
--- a/replica/choice.go
+++ b/replica/choice.go
@@ -21,6 +21,8 @@
 	// Tried replicas are passed over.
 	Tried  []*State
 	Random Random
+	// Typical is the class's median latency; 0 while unknown.
+	Typical time.Duration
 	// Extra places beyond a replica's limit may be taken: a hedge takes the
 	// place of an attempt that is stuck elsewhere.
 	Extra int
@@ -28,7 +30,8 @@
 
 // Eligible reports whether r may take the attempt now.
 func (in *Selection) Eligible(r *State) bool {
-	return r.Usable(in.Now) && r.InFlight < r.Limit(in.Now)+in.extra(r) && in.Holds(r) && !in.tried(r)
+	return r.Usable(in.Now) && r.InFlight < r.Limit(in.Now)+in.extra(r) && r.bears(in.Now) &&
+		in.Holds(r) && !in.tried(r)
 }
 
 func (in *Selection) extra(r *State) int {
--- /dev/null
+++ b/replica/cold.go
@@ -0,0 +1,38 @@
+package replica
+
+import "carawaycross.example/carawaycross/ident"
+
+// A coldGate meters out this VM's part of what a cold replica bears. The zero
+// value belongs to no cold time.
+type coldGate struct {
+	// until is the cold time that the gate belongs to.
+	until ident.Instant
+	// tokens are the attempts that may be sent, up to 1.
+	tokens float64
+	at     ident.Instant
+	metred bool
+}
+
+// bears reports whether a replica that says it is cold can take one more attempt
+// of this VM. The parts of all VMs sum to the replica's rate: the first token of
+// each comes in the order of their ranks.
+func (s *State) bears(now ident.Instant) bool {
+	g := &s.cold
+	if now >= s.ColdUntil || s.Shares.ColdRate <= 0 {
+		g.metred = false
+		return true
+	}
+	vms := float64(max(s.Shares.VMs, 1))
+	if !g.metred {
+		*g = coldGate{until: s.ColdUntil, tokens: -float64(s.Shares.Rank) / vms, at: now, metred: true}
+	}
+	g.tokens = min(g.tokens+now.Sub(g.at).Seconds()*float64(s.Shares.ColdRate)/vms, 1)
+	g.at = now
+	return g.tokens >= 1
+}
+
+func (g *coldGate) spend() {
+	if g.metred {
+		g.tokens--
+	}
+}
--- a/replica/limit.go
+++ b/replica/limit.go
@@ -17,6 +17,9 @@
 	Rank int
 	// RampStep is the time between two steps of the ramp.
 	RampStep time.Duration
+	// ColdRate is what the replica bears while cold, over all VMs; 0 for no
+	// bound.
+	ColdRate ident.Rate
 }
 
 // ConnectionShare returns the connections that this VM may hold: an equal part,
--- /dev/null
+++ b/replica/pace.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"math"
+	"time"
+
+	"carawaycross.example/carawaycross/ident"
+)
+
+const (
+	// paceWeight is the weight of one more reply.
+	paceWeight = 0.3
+	// mostPace bounds what one slow reply tells, in multiples of the typical
+	// latency.
+	mostPace  = 20
+	leastPace = 0.25
+	// paceMemory is the time constant by which evidence without new replies
+	// fades: a replica that was slow is then tried again.
+	paceMemory = 2 * time.Second
+	// mostFailing keeps the score of a replica that always fails finite.
+	mostFailing = 0.95
+)
+
+// A pace is the evidence of a replica's replies, over all classes: each reply is
+// compared with what is typical of its own class. The zero value is typical.
+type pace struct {
+	// slow is the moving average of latency over the typical one, less 1.
+	slow float64
+	// failing is the moving average of failures, 0 to 1.
+	failing float64
+	at      ident.Instant
+}
+
+// fade returns the weight of old evidence at now.
+func (p *pace) fade(now ident.Instant) float64 {
+	if now <= p.at {
+		return 1
+	}
+	return math.Exp(-float64(now.Sub(p.at)) / float64(paceMemory))
+}
+
+func (p *pace) add(now ident.Instant, slow, failing float64) {
+	f := p.fade(now)
+	p.slow, p.failing, p.at = p.slow*f, p.failing*f, max(now, p.at)
+	p.slow += paceWeight * (slow - p.slow)
+	p.failing += paceWeight * (failing - p.failing)
+}
+
+// A Rating is how one attempt ended, for the choice of later ones.
+type Rating struct {
+	Outcome Outcome
+	Took    time.Duration
+	// Typical is the class's median latency; 0 while unknown.
+	Typical time.Duration
+}
+
+// Rate takes the end of an attempt.
+func (s *State) Rate(now ident.Instant, r Rating) {
+	now = max(now, s.pace.at)
+	slow := s.pace.slow * s.pace.fade(now)
+	if r.Typical > 0 {
+		slow = min(max(float64(r.Took)/float64(r.Typical), leastPace), mostPace) - 1
+	}
+	switch r.Outcome {
+	case OK:
+		s.pace.add(now, slow, 0)
+	case Aborted:
+		// The latency is not known, only that it was longer.
+		if slow > s.pace.slow*s.pace.fade(now) {
+			s.pace.add(now, slow, s.pace.failing*s.pace.fade(now))
+		}
+	case Shed, Failed, Broken, Unsent, Misdirected:
+		s.pace.add(now, s.pace.slow*s.pace.fade(now), 1)
+	case RefusedCold, Draining, Gone:
+	}
+}
+
+// Sent notes that an attempt was sent.
+func (s *State) Sent(now ident.Instant) {
+	s.InFlight++
+	s.pending = append(s.pending, now)
+	s.cold.spend()
+}
+
+// Ended notes that an attempt which was sent at an instant ended.
+func (s *State) Ended(sent ident.Instant) {
+	s.InFlight--
+	for i, at := range s.pending {
+		if at == sent {
+			s.pending = append(s.pending[:i], s.pending[i+1:]...)
+			return
+		}
+	}
+}
+
+// Stuck returns how much longer than typical the oldest attempt in flight has
+// taken so far.
+func (s *State) Stuck(now ident.Instant, typical time.Duration) time.Duration {
+	if len(s.pending) == 0 {
+		return 0
+	}
+	return max(now.Sub(s.pending[0])-stuckFactor*typical, 0)
+}
+
+// stuckFactor times the typical latency is not yet a sign that a replica stands
+// still.
+const stuckFactor = 2
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -47,6 +47,9 @@
 	Draining
 	// Gone was refused before it ran, since the snapshot is not held.
 	Gone
+	// Misdirected was refused before it ran, since another replica has the
+	// address.
+	Misdirected
 	// Unsent never left this VM: no connection could be made.
 	Unsent
 	// Broken lost its connection after it was sent; it may have run.
@@ -64,7 +67,7 @@
 func (o Outcome) String() string {
 	return [...]string{
 		"ok", "shed", "refused-cold", "draining", "gone",
-		"unsent", "broken", "failed", "aborted",
+		"misdirected", "unsent", "broken", "failed", "aborted",
 	}[o]
 }
 
@@ -74,8 +77,11 @@
 	firstEjection = time.Second
 	longestEject  = 30 * time.Second
 	firstLost     = 250 * time.Millisecond
-	longestLost   = 4 * time.Second
-	leaveHold     = 10 * time.Second
+	// misdirectedFor is how long an address that another replica has is passed
+	// over; discovery is told of the change within about that time.
+	misdirectedFor = time.Second
+	longestLost    = 4 * time.Second
+	leaveHold      = 10 * time.Second
 	// coldRestPart of a ramp step passes after a refusal for coldness.
 	coldRestPart   = 4
 	limitDecrease  = 0.7
@@ -102,6 +108,10 @@
 	ReportedLoad uint32
 	// Out is true while operators keep the replica's zone or VM out.
 	Out bool
+	// Born tells the lives of a replica under one ID apart; 0 if untold.
+	Born ident.Incarnation
+	// ColdUntil is when the replica says that it is warm; 0 if untold.
+	ColdUntil ident.Instant
 
 	condition Condition
 	// Since is when the condition began; until is when it ends by itself.
@@ -118,6 +128,10 @@
 	// Delayed counts the latest replies that queueing delayed, in a row.
 	delayed  int
 	coldMark uint64
+	pace     pace
+	cold     coldGate
+	// Pending holds when each attempt in flight was sent, in that order.
+	pending []ident.Instant
 }
 
 // Condition returns the condition at now, after ended intervals took effect.
@@ -150,7 +164,7 @@
 
 // Spare reports whether one more attempt is within the limits.
 func (s *State) Spare(now ident.Instant) bool {
-	return s.Usable(now) && s.InFlight < s.Limit(now)
+	return s.Usable(now) && s.InFlight < s.Limit(now) && s.bears(now)
 }
 
 // Latency returns the moving average of the latency; 0 without evidence.
@@ -232,6 +246,10 @@
 		}
 	case Draining:
 		s.Leave(now)
+	case Misdirected:
+		if before != Leaving {
+			s.pauseFor(Lost, now, misdirectedFor, longestLost)
+		}
 	case Unsent, Broken:
 		if before != Leaving && before != Lost {
 			s.pauseFor(Lost, now, firstLost, longestLost)
--- /dev/null
+++ b/replica/soonest.go
@@ -0,0 +1,57 @@
+package replica
+
+import "time"
+
+// Soonest picks the replica from which a reply is expected first: from its pace,
+// its load, and how long its oldest attempt has been stuck. A replica in another
+// zone wins only by more than the way there.
+type Soonest struct{}
+
+const (
+	// remotePart of the typical latency is added for another zone, besides
+	// crossZoneDelay: its bytes are paid for.
+	remotePart = 0.25
+	// stuckWeight times the time that an attempt is stuck is expected to come on
+	// top of a reply: what stands still for long stands still for longer.
+	stuckWeight = 2
+	// unknownTypical stands in while no latency is known.
+	unknownTypical = 10 * time.Millisecond
+)
+
+// Decide picks the replica with the least expected time; equal ones by chance.
+func (Soonest) Decide(in *Selection) *State {
+	var best *State
+	var least float64
+	ties := 0
+	for _, r := range in.Shard.Replicas {
+		if !in.Eligible(r) {
+			continue
+		}
+		expected := r.expected(in)
+		switch {
+		case best == nil || expected < least:
+			best, least, ties = r, expected, 1
+		case expected == least:
+			ties++
+			if in.Random.IntN(ties) == 0 {
+				best = r
+			}
+		}
+	}
+	return best
+}
+
+func (s *State) expected(in *Selection) float64 {
+	typical := in.Typical
+	if typical == 0 {
+		typical = unknownTypical
+	}
+	fade := s.pace.fade(in.Now)
+	load := 1 + float64(s.InFlight)/float64(max(s.Shares.Slots, 1))
+	t := float64(typical) * max(1+s.pace.slow*fade, leastPace) * load
+	t += stuckWeight * float64(s.Stuck(in.Now, typical))
+	if !s.Local {
+		t += float64(crossZoneDelay) + remotePart*float64(typical)
+	}
+	return t / (1 - min(s.pace.failing*fade, mostFailing))
+}
--- /dev/null
+++ b/retry/quota.go
@@ -0,0 +1,93 @@
+package retry
+
+import (
+	"time"
+
+	"carawaycross.example/carawaycross/container"
+	"carawaycross.example/carawaycross/ident"
+)
+
+// Terms are what all VMs together may send beyond the first attempts at one
+// service, in any window of Span. The zero value sets no terms.
+type Terms struct {
+	// Ratio of the first attempts in the span, and Allowance on top.
+	Ratio     ident.Share
+	Allowance int
+	Span      time.Duration
+}
+
+// Set reports whether there are terms.
+func (t Terms) Set() bool { return t.Span > 0 }
+
+const (
+	// ratioUsed of the ratio is spent: the first attempts are counted over the
+	// part of the span that the window's resolution is sure of, and requests
+	// that never reached this VM's count are left to the others.
+	ratioUsed = 0.85
+	// hedgePart of the quota may go to hedges; the rest is kept for attempts
+	// that failed.
+	hedgePart = 0.7
+	// spanKept is how much longer than the span spent attempts are counted, so
+	// that every window of the span lies within what was counted.
+	spanKept = 8.0 / 7
+)
+
+// A Quota is one VM's part of the terms of a service. It needs no word from the
+// other VMs: the parts sum to the terms whichever VMs are cut off. The zero
+// value has no terms and refuses.
+type Quota struct {
+	terms         Terms
+	vms           int
+	firsts, extra container.Window[int]
+}
+
+// Install sets the terms and the number of VMs that share them.
+func (q *Quota) Install(t Terms, vms int) {
+	if q.terms.Span != t.Span {
+		q.firsts = container.Window[int]{Span: t.Span}
+		q.extra = container.Window[int]{Span: time.Duration(float64(t.Span) * spanKept)}
+	}
+	q.terms, q.vms = t, max(vms, 1)
+}
+
+// First counts a first attempt.
+func (q *Quota) First(now ident.Instant) {
+	if q.terms.Set() {
+		q.firsts.Add(now, 1)
+	}
+}
+
+// Left returns how many more attempts may be sent now.
+func (q *Quota) Left(now ident.Instant) float64 {
+	return q.total(now) - float64(q.extra.Sum(now))
+}
+
+func (q *Quota) total(now ident.Instant) float64 {
+	// One part of the allowance is left for a VM that starts anew and does not
+	// know what it spent.
+	part := float64(q.terms.Allowance) / float64(q.vms+1)
+	return ratioUsed*float64(q.terms.Ratio)*float64(q.firsts.Sum(now)) + part
+}
+
+// Spend takes one attempt and reports whether it may be sent.
+func (q *Quota) Spend(now ident.Instant, hedge bool) bool {
+	if !q.terms.Set() {
+		return false
+	}
+	total := q.total(now)
+	if hedge {
+		total *= hedgePart
+	}
+	if float64(q.extra.Sum(now))+1 > total {
+		return false
+	}
+	q.extra.Add(now, 1)
+	return true
+}
+
+// Refund takes back an attempt that reached no upstream.
+func (q *Quota) Refund(now ident.Instant) {
+	if q.terms.Set() && q.extra.Sum(now) > 0 {
+		q.extra.Add(now, -1)
+	}
+}
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -4,3 +4,4 @@
 package schema
 
 //go:generate go -C ../tools tool buf generate ../schema --template ../schema/buf.gen.yaml -o ../schema
+//go:generate go -C ../tools tool buf generate ../platform/wire --template ../schema/buf.gen.yaml -o ../schema
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -4,30 +4,47 @@
 package standin
 
 import (
-	"context"
+	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
-	"google.golang.org/protobuf/proto"
 
 	"carawaycross.example/carawaycross/clock"
-	"carawaycross.example/carawaycross/schema"
 )
 
-const largestValue = 1 << 20
+const (
+	largestValue = 1 << 20
+	// pageSize is the number of objects in one page of a listing.
+	pageSize    = 500
+	longestWait = 30 * time.Second
+	// keptEvents is the history that a watch may begin in.
+	keptEvents = 10_000
+	vmKind     = "carawaycross-vms"
+)
 
-type object struct {
-	version uint64
-	value   []byte
-	// Changed is closed when the object gets its next version.
-	changed chan struct{}
+type stored struct {
+	Meta struct {
+		Name       string   `json:"name"`
+		Revision   uint64   `json:"revision"`
+		CreatedRev uint64   `json:"createdRev"`
+		Finalizers []string `json:"finalizers"`
+		Deleting   bool     `json:"deleting"`
+	} `json:"meta"`
+	Spec   json.RawMessage `json:"spec"`
+	Status json.RawMessage `json:"status"`
+}
+
+type happening struct {
+	revision uint64
+	kind     string
+	object   stored
+	deleted  bool
 }
 
 // PlatformFaults are the faults of a Platform; the zero value has none.
@@ -46,9 +63,15 @@
 
 // A Platform is a stand-in for the platform's store. See NewPlatform.
 type Platform struct {
-	mu      sync.Mutex
-	objects map[string]*object
-	vms     map[string]bool
+	mu sync.Mutex
+	// Revision counts the changes; kinds holds the objects by kind and name.
+	revision uint64
+	kinds    map[string]map[string]stored
+	// History holds the latest changes; those up to dropped are gone.
+	history []happening
+	dropped uint64
+	// Changed is closed at the next change.
+	changed chan struct{}
 	faults  PlatformFaults
 	reads   int
 	writes  int
@@ -67,14 +90,16 @@
 		return nil, err
 	}
 	p := &Platform{
-		objects: map[string]*object{}, vms: map[string]bool{},
+		kinds: map[string]map[string]stored{}, changed: make(chan struct{}), revision: 1,
 		done: make(chan error, 1), addr: listener.Addr().String(),
 	}
 	r := chi.NewRouter()
 	r.Use(p.admit)
-	r.Get("/v1/objects/{name}", p.get)
-	r.Put("/v1/objects/{name}", p.put)
-	r.Get("/v1/vms", p.list)
+	r.Get("/api/objects/{kind}", p.list)
+	r.Post("/api/objects/{kind}", p.create)
+	r.Get("/api/objects/{kind}/{name}", p.get)
+	r.Put("/api/objects/{kind}/{name}", p.put)
+	r.Delete("/api/objects/{kind}/{name}", p.remove)
 	p.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Second}
 	go func() { p.done <- p.server.Serve(listener) }()
 	return p, nil
@@ -101,25 +126,55 @@
 
 // SetVM puts a VM on the list, leaving or not.
 func (p *Platform) SetVM(name string, leaving bool) {
+	spec, _ := json.Marshal(map[string]any{"leaving": leaving})
+	p.Set(vmKind, name, spec)
+}
+
+// Set writes an object as the operator or a replica would.
+func (p *Platform) Set(kind, name string, spec []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms[name] = leaving
+	p.store(kind, name, spec)
 }
 
-// Revert sets an object back to an earlier value, as a store restored from an
-// old copy would.
-func (p *Platform) Revert(name string, version uint64, value []byte) {
+// Remove deletes an object as the platform would.
+func (p *Platform) Remove(kind, name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.store(name, version, value)
+	p.drop(kind, name)
 }
 
-// Object returns the current version and value.
+// Compact forgets the history.
+func (p *Platform) Compact() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropped, p.history = p.revision, nil
+	p.wake()
+}
+
+// Revert sets one of the product's objects to an earlier value, as a store
+// restored from an old copy would.
+func (p *Platform) Revert(name string, _ uint64, value []byte) {
+	spec, _ := json.Marshal(value)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for kind, objects := range p.kinds {
+		if _, ok := objects[name]; ok {
+			p.store(kind, name, spec)
+		}
+	}
+}
+
+// Object returns the current version and value of one of the product's objects.
 func (p *Platform) Object(name string) (uint64, []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if o := p.objects[name]; o != nil {
-		return o.version, o.value
+	for _, objects := range p.kinds {
+		if o, ok := objects[name]; ok {
+			var value []byte
+			_ = json.Unmarshal(o.Spec, &value)
+			return o.Meta.Revision, value
+		}
 	}
 	return 0, nil
 }
@@ -136,10 +191,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.mu.Lock()
 		f := p.faults
-		if r.Method == http.MethodPut {
-			p.writes++
-		} else {
+		if r.Method == http.MethodGet {
 			p.reads++
+		} else {
+			p.writes++
 		}
 		if now := time.Now().Unix(); now != p.second {
 			p.second, p.inWork = now, 0
@@ -161,70 +216,148 @@
 	})
 }
 
-func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
-	name := chi.URLParam(r, "name")
-	if after := r.URL.Query().Get("after"); after != "" {
-		p.wait(r, name, after)
+// store writes an object and tells the watches. The lock must be held.
+func (p *Platform) store(kind, name string, spec json.RawMessage) stored {
+	if p.kinds[kind] == nil {
+		p.kinds[kind] = map[string]stored{}
 	}
-	version, value := p.Object(name)
-	if version == 0 {
-		http.NotFound(w, r)
+	p.revision++
+	o, known := p.kinds[kind][name]
+	if !known {
+		o.Meta.Name, o.Meta.CreatedRev = name, p.revision
+	}
+	o.Meta.Revision, o.Spec = p.revision, spec
+	p.kinds[kind][name] = o
+	p.happened(kind, o, false)
+	return o
+}
+
+func (p *Platform) drop(kind, name string) {
+	o, ok := p.kinds[kind][name]
+	if !ok {
 		return
 	}
-	w.Header().Set("ETag", strconv.FormatUint(version, 10))
-	// A lost connection is the caller's to notice.
-	_, _ = w.Write(value)
+	delete(p.kinds[kind], name)
+	p.revision++
+	p.happened(kind, o, true)
 }
 
-func (p *Platform) wait(r *http.Request, name, after string) {
-	seconds, _ := strconv.Atoi(r.URL.Query().Get("wait"))
-	known, _ := strconv.ParseUint(after, 10, 64)
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(seconds)*time.Second)
-	defer cancel()
+func (p *Platform) happened(kind string, o stored, deleted bool) {
+	p.history = append(p.history, happening{p.revision, kind, o, deleted})
+	if extra := len(p.history) - keptEvents; extra > 0 {
+		p.dropped = p.history[extra-1].revision
+		p.history = slices.Delete(p.history, 0, extra)
+	}
+	p.wake()
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("watch") {
+		p.watch(w, r)
+		return
+	}
+	after := r.URL.Query().Get("after")
+	p.mu.Lock()
+	var names []string
+	objects := p.kinds[chi.URLParam(r, "kind")]
+	for name := range objects {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	page := map[string]any{"more": len(names) > pageSize, "storeRevision": p.revision}
+	items := []stored{}
+	for _, name := range names[:min(len(names), pageSize)] {
+		items = append(items, objects[name])
+	}
+	p.mu.Unlock()
+	page["items"] = items
+	reply(w, http.StatusOK, page)
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	kind := chi.URLParam(r, "kind")
+	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, longestWait))
+	defer timer.Stop()
 	for {
 		p.mu.Lock()
-		o := p.objects[name]
-		if o == nil {
-			o = &object{changed: make(chan struct{})}
-			p.objects[name] = o
-		}
-		changed, version, silent := o.changed, o.version, p.faults.SilentWatch
+		changed, silent := p.changed, p.faults.SilentWatch
+		gone, events, revision := after < p.dropped, p.since(kind, after), p.revision
 		p.mu.Unlock()
-		if version != known && !silent {
+		if gone {
+			http.Error(w, "history is gone", http.StatusGone)
+			return
+		}
+		if len(events) > 0 && !silent {
+			reply(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
 			return
 		}
 		select {
 		case <-changed:
-		case <-ctx.Done():
+		case <-timer.C:
+			reply(w, http.StatusOK, map[string]any{"events": []any{}, "storeRevision": revision})
+			return
+		case <-r.Context().Done():
 			return
 		}
 	}
 }
 
-func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, largestValue))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+func (p *Platform) since(kind string, after uint64) []map[string]any {
+	var events []map[string]any
+	for _, h := range p.history {
+		if h.kind == kind && h.revision > after {
+			events = append(events, map[string]any{"object": h.object, "deleted": h.deleted})
+		}
+	}
+	return events
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	o, ok := p.kinds[chi.URLParam(r, "kind")][chi.URLParam(r, "name")]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
 		return
 	}
-	name := chi.URLParam(r, "name")
-	var old uint64
-	if match := r.Header.Get("If-Match"); match != "" {
-		if old, err = strconv.ParseUint(strings.Trim(match, `"`), 10, 64); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
+	reply(w, http.StatusOK, o)
+}
+
+func (p *Platform) create(w http.ResponseWriter, r *http.Request) { p.write(w, r, "") }
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) { p.write(w, r, chi.URLParam(r, "name")) }
+
+// write creates an object when name is empty, and replaces one otherwise.
+func (p *Platform) write(w http.ResponseWriter, r *http.Request, name string) {
+	var sent stored
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, largestValue)).Decode(&sent); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	kind, create := chi.URLParam(r, "kind"), name == ""
+	if create {
+		name = sent.Meta.Name
 	}
 	p.mu.Lock()
-	var version uint64
-	if o := p.objects[name]; o != nil {
-		version = o.version
+	held, known := p.kinds[kind][name]
+	if !create && !known {
+		p.mu.Unlock()
+		http.NotFound(w, r)
+		return
 	}
-	conflict := version != old
+	conflict := (create && known) || (!create && sent.Meta.Revision != 0 && sent.Meta.Revision != held.Meta.Revision)
 	lose := false
 	if !conflict {
-		version++
-		p.store(name, version, value)
+		held = p.store(kind, name, sent.Spec)
 		lose = p.faults.LoseAnswers > 0
 		if lose {
 			p.faults.LoseAnswers--
@@ -233,32 +366,29 @@
 	p.mu.Unlock()
 	switch {
 	case conflict:
-		http.Error(w, "version differs", http.StatusPreconditionFailed)
+		reply(w, http.StatusConflict, held)
 	case lose:
 		panic(http.ErrAbortHandler)
 	default:
-		w.Header().Set("ETag", strconv.FormatUint(version, 10))
-	}
-}
-
-func (p *Platform) store(name string, version uint64, value []byte) {
-	if o := p.objects[name]; o != nil {
-		close(o.changed)
+		reply(w, http.StatusOK, held)
 	}
-	p.objects[name] = &object{version, value, make(chan struct{})}
 }
 
-func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	list := &schema.VMList{}
-	for name, leaving := range p.vms {
-		list.Vms = append(list.Vms, &schema.ListedVM{Vm: name, Leaving: leaving})
-	}
+	p.drop(chi.URLParam(r, "kind"), chi.URLParam(r, "name"))
 	p.mu.Unlock()
-	body, err := proto.Marshal(list)
+	reply(w, http.StatusOK, struct{}{})
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	_, _ = w.Write(body)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A lost connection is the caller's to notice.
+	_, _ = w.Write(text)
 }
--- a/view/view.go
+++ b/view/view.go
@@ -3,10 +3,14 @@
 package view
 
 import (
+	"time"
+
 	"carawaycross.example/carawaycross/container"
 	"carawaycross.example/carawaycross/ident"
 	"carawaycross.example/carawaycross/poison"
 	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/retry"
+	"carawaycross.example/carawaycross/route"
 	"carawaycross.example/carawaycross/snapshot"
 )
 
@@ -24,6 +28,12 @@
 	ColdMark uint64
 	// Rank is this VM's place in the replica's rendezvous order.
 	Rank int
+	// Slots is the replica's own total where it differs; 0 for the service's.
+	Slots int
+	// Born tells the lives of a replica under one ID apart; 0 if untold.
+	Born ident.Incarnation
+	// ColdUntil is when the replica says that it is warm; 0 if untold.
+	ColdUntil ident.Instant
 }
 
 // A Service is one service and its replicas.
@@ -33,6 +43,12 @@
 	Slots, Connections int
 	Maps               snapshot.Maps
 	Replicas           []Replica
+	// Terms bound the extra attempts of all VMs; unset, the preset does.
+	Terms retry.Terms
+	// RampStep replaces the preset's; 0 for the preset's.
+	RampStep time.Duration
+	// ColdRate is what a cold replica bears over all VMs; 0 for no bound.
+	ColdRate ident.Rate
 }
 
 // A Member is another VM that requests may be forwarded to.
@@ -58,6 +74,13 @@
 	// VMs counts the VMs that may be sending to upstreams; at least 1.
 	VMs      int
 	Services []Service
+	// Routes are where callers' requests go; nil without routes. A request
+	// keeps the table's version that it began with.
+	Routes *route.Table
+	// RoutesVersion is the version of Routes; it never falls.
+	RoutesVersion ident.RoutesVersion
+	// Limits bound what callers may send.
+	Limits   route.Limits
 	Members  container.COW[ident.VMID, Member]
 	Poisoned container.COW[poison.Fingerprint, ident.Instant]
 }
--- a/vm/loop.go
+++ b/vm/loop.go
@@ -240,7 +240,7 @@
 func (l listener) Listed(vms []platform.ListedVM) {
 	list := make([]control.Listed, len(vms))
 	for i, vm := range vms {
-		list[i] = control.Listed(vm)
+		list[i] = control.Listed{Name: vm.Name, Leaving: vm.Leaving}
 	}
 	l.loop.post(l.ctx, event{kind: listed, vms: list})
 }
