--- a/carawaycross.go
+++ b/carawaycross.go
@@ -10,12 +10,17 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"github.com/rs/zerolog"
 
+	"carawaycross.example/carawaycross/clock"
+	"carawaycross.example/carawaycross/ident"
 	"carawaycross.example/carawaycross/node"
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/settings"
+	"carawaycross.example/carawaycross/traffic"
+	"carawaycross.example/carawaycross/view"
 	"carawaycross.example/carawaycross/vm"
 )
 
@@ -71,6 +76,33 @@
 	return vm.Start(a.settings, a.options)
 }
 
+// Enter starts an entry VM on the users' platform, whose store tells it of
+// routes and replicas.
+func Enter(boot *platform.Boot, options ...Option) (*vm.VM, error) {
+	a := &assembly{options: vm.Options{Log: zerolog.Nop(), Policies: node.Passing()}}
+	for _, o := range options {
+		o(a)
+	}
+	m := boot.Settings.Message.Platform
+	store := &platform.Client{Address: m.Address, Rate: ident.Rate(m.CallsPerSecond)}
+	log := a.options.Log
+	unreadable := func(kind, name string, err error) {
+		log.Warn().Str("kind", kind).Str("name", name).Err(err).Msg("entry-not-read")
+	}
+	replicas, configurations, zones := store.Replicas(clock.New()), store.Configurations(), store.ZonesOut()
+	replicas.Unreadable, configurations.Unreadable, zones.Unreadable = unreadable, unreadable, unreadable
+	a.options.Store = store
+	a.options.Discovery = &vm.Discovery{
+		Carrier: &platform.Sender{}, Registry: store,
+		Replicas: replicas, Configurations: configurations, ZonesOut: zones,
+		Front: func(lane *traffic.Lane, board *view.Board, leaving func() bool) http.Handler {
+			return &platform.Front{Lane: lane, Board: board, Log: log, Leaving: leaving}
+		},
+		Ready: platform.Readiness,
+	}
+	return vm.Start(boot.Settings, a.options)
+}
+
 // Serve runs an entry VM from a settings file until the context is done, and
 // then stops it without cutting a request.
 func Serve(ctx context.Context, path string, options ...Option) error {
--- /dev/null
+++ b/catalogue/catalogue.go
@@ -0,0 +1,223 @@
+// Package catalogue holds what discovery and the operators tell of upstreams:
+// the routes and services of the newest configuration, the replicas, and the
+// availability zones that get no work. It decides what of it is believed.
+package catalogue
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/retry"
+	"carawaycross.example/carawaycross/route"
+	"carawaycross.example/carawaycross/view"
+)
+
+// A Replica is a replica's own entry.
+type Replica struct {
+	ID      ident.ReplicaID
+	Service ident.ServiceID
+	Zone    ident.ZoneID
+	Address string
+	// Born tells the lives of a replica under one ID apart; 0 if untold.
+	Born ident.Incarnation
+	// Slots is the number of requests that it processes at once.
+	Slots int
+	// Leaving is true once it takes no new work.
+	Leaving bool
+	// ColdUntil is when it says that it is warm; 0 for warm.
+	ColdUntil ident.Instant
+}
+
+// A Service is what the replicas of a service have in common.
+type Service struct {
+	ID ident.ServiceID
+	// Connections to one replica, of all clients together.
+	Connections int
+	// ColdRate is what a cold replica bears; 0 for no bound.
+	ColdRate ident.Rate
+}
+
+// A Configuration is one version of what operators say of routes.
+type Configuration struct {
+	Version  ident.RoutesVersion
+	Routes   []route.Route
+	Services []Service
+	Limits   route.Limits
+}
+
+// absentHold is how long an entry that lapsed while the store was away may be
+// missing after the store's return. The platform says about two seconds; half a
+// second more covers the way here.
+const absentHold = 2500 * time.Millisecond
+
+// A Book is one VM's catalogue. The zero value is empty.
+type Book struct {
+	// Version never falls.
+	configuration Configuration
+	table         *route.Table
+	replicas      map[ident.ReplicaID]Replica
+	// Absent holds the entries that were missing at the store's return, and
+	// until when they are still believed.
+	absent   map[ident.ReplicaID]ident.Instant
+	returned ident.Instant
+	away     bool
+	zonesOut map[ident.ZoneID]bool
+	listed   bool
+}
+
+// Ready reports whether routes and replicas are known.
+func (b *Book) Ready() bool { return b.table != nil && b.listed }
+
+// Version returns the version of the routes; 0 without any.
+func (b *Book) Version() ident.RoutesVersion { return b.configuration.Version }
+
+// Configure takes a configuration and reports whether it is newer.
+func (b *Book) Configure(c Configuration) bool {
+	if b.table != nil && c.Version <= b.configuration.Version {
+		return false
+	}
+	b.configuration, b.table = c, route.NewTable(c.Routes)
+	return true
+}
+
+// Away notes that the list of replicas could not be read.
+func (b *Book) Away() { b.away = b.listed }
+
+// back notes that the list can be read again.
+func (b *Book) back(now ident.Instant) {
+	if b.away {
+		b.away, b.returned = false, now
+	}
+}
+
+func (b *Book) holding(now ident.Instant) bool {
+	return b.returned != 0 && now < b.returned.Add(absentHold)
+}
+
+// List takes the whole list of replicas.
+func (b *Book) List(now ident.Instant, list []Replica) {
+	b.back(now)
+	next := make(map[ident.ReplicaID]Replica, len(list))
+	for _, r := range list {
+		next[r.ID] = r
+	}
+	old := b.replicas
+	b.replicas, b.listed = next, true
+	for id, r := range old {
+		if _, ok := next[id]; !ok && b.holding(now) {
+			b.hold(id, r)
+		}
+	}
+	for _, r := range list {
+		delete(b.absent, r.ID)
+	}
+}
+
+// Put takes one replica's entry.
+func (b *Book) Put(now ident.Instant, r Replica) {
+	b.back(now)
+	if b.replicas == nil {
+		b.replicas = map[ident.ReplicaID]Replica{}
+	}
+	b.replicas[r.ID] = r
+	delete(b.absent, r.ID)
+}
+
+// Remove takes the end of a replica's entry.
+func (b *Book) Remove(now ident.Instant, id ident.ReplicaID) {
+	b.back(now)
+	r, ok := b.replicas[id]
+	switch {
+	case !ok:
+	case b.holding(now) && !r.Leaving:
+		b.hold(id, r)
+	default:
+		delete(b.replicas, id)
+	}
+}
+
+// Unchanged takes the word that nothing changed.
+func (b *Book) Unchanged(now ident.Instant) { b.back(now) }
+
+func (b *Book) hold(id ident.ReplicaID, r Replica) {
+	if r.Leaving {
+		return
+	}
+	if b.absent == nil {
+		b.absent = map[ident.ReplicaID]ident.Instant{}
+	}
+	b.replicas[id] = r
+	b.absent[id] = b.returned.Add(absentHold)
+}
+
+// Next returns when Expire is due next.
+func (b *Book) Next() ident.Instant {
+	next := ident.Never
+	for _, until := range b.absent {
+		next = min(next, until)
+	}
+	return next
+}
+
+// Expire drops the entries that stayed missing, and reports whether any did.
+func (b *Book) Expire(now ident.Instant) bool {
+	changed := false
+	for id, until := range b.absent {
+		if now >= until {
+			delete(b.absent, id)
+			delete(b.replicas, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// SetZonesOut takes the zones that get no work.
+func (b *Book) SetZonesOut(zones []ident.ZoneID) {
+	b.zonesOut = map[ident.ZoneID]bool{}
+	for _, z := range zones {
+		b.zonesOut[z] = true
+	}
+}
+
+// ZonesOut returns the zones that get no work, in order.
+func (b *Book) ZonesOut() []ident.ZoneID { return slices.Sorted(maps.Keys(b.zonesOut)) }
+
+// unknownConnections is assumed of a service that the configuration lacks.
+const unknownConnections = 16
+
+// rampStep ends the ramp of a replica after a loss at once: what it bears while
+// cold is metered by its own rate.
+const rampStep = time.Millisecond
+
+// View adds the catalogue to a view. Rank tells this VM's place in the order of
+// a replica.
+func (b *Book) View(v *view.View, terms retry.Terms, rank func(ident.ReplicaID) int) {
+	v.Routes, v.RoutesVersion, v.Limits = b.table, b.configuration.Version, b.configuration.Limits
+	at := make(map[ident.ServiceID]int, len(b.configuration.Services))
+	for _, s := range b.configuration.Services {
+		at[s.ID] = len(v.Services)
+		v.Services = append(v.Services, view.Service{
+			ID: s.ID, Connections: s.Connections, Terms: terms, RampStep: rampStep, ColdRate: s.ColdRate,
+		})
+	}
+	for _, id := range slices.Sorted(maps.Keys(b.replicas)) {
+		r := b.replicas[id]
+		i, ok := at[r.Service]
+		if !ok {
+			i = len(v.Services)
+			at[r.Service] = i
+			v.Services = append(v.Services, view.Service{
+				ID: r.Service, Connections: unknownConnections, Terms: terms, RampStep: rampStep,
+			})
+		}
+		s := &v.Services[i]
+		s.Slots = max(s.Slots, r.Slots)
+		s.Replicas = append(s.Replicas, view.Replica{
+			ID: r.ID, Zone: r.Zone, Address: r.Address, Born: r.Born, Slots: r.Slots, Leaving: r.Leaving,
+			ColdUntil: r.ColdUntil, Out: b.zonesOut[r.Zone], Rank: rank(r.ID),
+		})
+	}
+}
--- /dev/null
+++ b/cmd/carawaycross/entry.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
+
+	"carawaycross.example/carawaycross"
+	"carawaycross.example/carawaycross/eventlog"
+	"carawaycross.example/carawaycross/platform"
+)
+
+type entryCommand struct {
+	settings string
+	level    string
+}
+
+func (c *entryCommand) bind() *flaggy.Subcommand {
+	s := newSubcommand("entry", "Run an entry VM on the users' platform until SIGTERM.",
+		platform.BootVariable+"=/etc/carawaycross/settings.conf carawaycross entry")
+	c.level = "info"
+	s.String(&c.settings, "s", "settings", "The platform's settings file; without it, the one that "+platform.BootVariable+" names.")
+	s.String(&c.level, "l", "log-level", "One of debug, info, warn, error.")
+	return s
+}
+
+func (c *entryCommand) run(ctx context.Context) error {
+	level, err := zerolog.ParseLevel(c.level)
+	if err != nil {
+		return usage(err)
+	}
+	path := c.settings
+	if path == "" {
+		path = os.Getenv(platform.BootVariable)
+	}
+	out := eventlog.New(os.Stdout)
+	log := out.Logger(level)
+	defer out.Close()
+	boot, err := platform.LoadBoot(path)
+	if err != nil {
+		log.Error().Err(err).Msg("settings-not-read")
+		return err
+	}
+	log.Info().Strs("fields", boot.Unknown).Msg("settings-ignored")
+	v, err := carawaycross.Enter(boot, carawaycross.WithLog(log))
+	if err != nil {
+		log.Error().Err(err).Msg("vm-not-started")
+		return err
+	}
+	c.reload(ctx, log, path)
+	return v.Stop(context.WithoutCancel(ctx))
+}
+
+// reload reads the settings again at each SIGHUP, until the context is done.
+func (c *entryCommand) reload(ctx context.Context, log zerolog.Logger, path string) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	for {
+		select {
+		case <-hups:
+			if _, err := platform.LoadBoot(path); err != nil {
+				log.Error().Err(err).Msg("settings-not-reloaded")
+				continue
+			}
+			log.Info().Str("path", path).Msg("settings-reloaded")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/cmd/carawaycross/main.go
+++ b/cmd/carawaycross/main.go
@@ -24,7 +24,7 @@
 // commands are all subcommands, in the order of the help.
 func commands() []command {
 	return []command{
-		&serveCommand{}, &checkCommand{}, &demoCommand{}, &measureCommand{},
+		&entryCommand{}, &serveCommand{}, &checkCommand{}, &demoCommand{}, &measureCommand{},
 		&searchCommand{}, &bookCommand{}, &statusCommand{},
 		&presetCommand{}, newOutCommand("zone"), newOutCommand("vm"),
 		&standinCommand{}, &keysCommand{}, &versionCommand{},
--- a/control/control.go
+++ b/control/control.go
@@ -8,12 +8,14 @@
 	"math/rand/v2"
 	"time"
 
+	"carawaycross.example/carawaycross/catalogue"
 	"carawaycross.example/carawaycross/config"
 	"carawaycross.example/carawaycross/container"
 	"carawaycross.example/carawaycross/ident"
 	"carawaycross.example/carawaycross/news"
 	"carawaycross.example/carawaycross/node"
 	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/retry"
 	"carawaycross.example/carawaycross/roster"
 	"carawaycross.example/carawaycross/view"
 )
@@ -57,6 +59,16 @@
 	// Services are the catalogue; Out, Leaving, ColdMark and Rank are ignored.
 	Services []view.Service
 	Fleet    config.Fleet
+	// First is in force until the store holds a configuration; its version is 0
+	// where the first one is written to the store before it is in force.
+	First config.Configuration
+	// Discovers is true where routes and replicas come from discovery; the VM is
+	// ready only once they are known.
+	Discovers bool
+	// Peerless VMs know each other from the platform's list alone.
+	Peerless bool
+	// Terms bound the extra attempts of all VMs at each discovered service.
+	Terms retry.Terms
 	// Random decides whom to tell; nil takes a fixed seed.
 	Random replica.Random
 }
@@ -144,10 +156,14 @@
 	changed  bool
 	// Ranks are this VM's places in the order of each service's replicas, for
 	// senders; members are for the view. Both are kept while they hold.
-	ranks         [][]int
-	senders       []ident.VMID
+	ranks   [][]int
+	senders []ident.VMID
+	order   *roster.Order
+	// Found holds the places in the order of discovered replicas.
+	found         map[ident.ReplicaID]int
 	members       container.COW[ident.VMID, view.Member]
 	rosterChanged bool
+	book          catalogue.Book
 	// QuietUntil is when this VM has learned the roster: until then what it
 	// learns of VMs that are alive is no news to others.
 	quietUntil ident.Instant
@@ -180,7 +196,10 @@
 	for _, seed := range c.Seeds {
 		core.roster.Merge(now, seed)
 	}
-	core.timers.Add(now, timer{kind: probeTimer})
+	core.configuration = c.First
+	if !c.Peerless {
+		core.timers.Add(now, timer{kind: probeTimer})
+	}
 	if len(c.Seeds) > 0 {
 		core.readyAt = now.Add(joinTimeout)
 		core.timers.Add(core.readyAt, timer{kind: joinTimer})
@@ -198,13 +217,17 @@
 }
 
 // Wake returns when Tick is due next.
-func (c *Core) Wake() ident.Instant { return min(c.timers.Next(), c.news.Next()) }
+func (c *Core) Wake() ident.Instant {
+	return min(c.timers.Next(), c.news.Next(), c.book.Next())
+}
 
 // Configuration returns the configuration in force here.
 func (c *Core) Configuration() config.Configuration { return c.configuration }
 
 // Watches reports whether this VM should watch the platform now.
-func (c *Core) Watches() bool { return c.configuration.Version == 0 || c.roster.Watches() }
+func (c *Core) Watches() bool {
+	return c.configuration.Version == 0 || c.config.Peerless || c.roster.Watches()
+}
 
 // Tick carries out what is due at now.
 func (c *Core) Tick(now ident.Instant) {
@@ -227,11 +250,19 @@
 	if c.news.Expire(now) {
 		c.changed = true
 	}
+	if c.book.Expire(now) {
+		c.changed = true
+	}
 	c.settle(now)
 }
 
 // Report takes evidence of this VM's own traffic.
 func (c *Core) Report(now ident.Instant, n node.News) {
+	if c.config.Discovers && n.Kind != node.Crash {
+		// Discovery tells the condition of replicas; each VM has evidence of its
+		// own for the rest.
+		return
+	}
 	kind := news.Kind(n.Kind)
 	subject := string(n.Replica)
 	if n.Kind == node.Crash {
@@ -270,6 +301,9 @@
 func (c *Core) Platform(now ident.Instant, held config.Configuration) {
 	c.platform.Reachable, c.platform.LastHeard = true, now
 	c.platform.FailingSince, c.platform.LastError = 0, ""
+	if held.Version == 0 && c.config.First.Version != 0 {
+		return
+	}
 	c.platform.Regressed = held.Version < c.configuration.Version
 	if c.platform.Regressed {
 		newest := c.configuration
@@ -308,6 +342,9 @@
 		}
 	}
 	c.roster.SetListed(live)
+	if c.config.Peerless {
+		c.roster.Replace(now, members(vms))
+	}
 	c.changed = true
 	c.settle(now)
 }
@@ -316,6 +353,23 @@
 type Listed struct {
 	Name    string
 	Leaving bool
+	// Zone, Address and Incarnation are set for VMs of the product.
+	Zone        ident.ZoneID
+	Address     string
+	Incarnation ident.Incarnation
+}
+
+// members returns the listed VMs of the product.
+func members(vms []Listed) []roster.Member {
+	var out []roster.Member
+	for _, vm := range vms {
+		if vm.Zone != "" && !vm.Leaving {
+			out = append(out, roster.Member{
+				VM: ident.VMID(vm.Name), Zone: vm.Zone, Address: vm.Address, Incarnation: vm.Incarnation,
+			})
+		}
+	}
+	return out
 }
 
 // adopt takes a configuration of a higher version; any other is ignored, so
--- /dev/null
+++ b/control/discovery.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"carawaycross.example/carawaycross/catalogue"
+	"carawaycross.example/carawaycross/ident"
+)
+
+// Configured takes the routes that the store holds and reports whether they are
+// newer than those in force.
+func (c *Core) Configured(now ident.Instant, next catalogue.Configuration) bool {
+	newer := c.book.Configure(next)
+	c.changed = c.changed || newer
+	c.settle(now)
+	return newer
+}
+
+// ReplicasListed takes the whole list of replicas.
+func (c *Core) ReplicasListed(now ident.Instant, list []catalogue.Replica) {
+	c.book.List(now, list)
+	c.changed = true
+	c.settle(now)
+}
+
+// ReplicasChanged takes the entries that changed and those that ended.
+func (c *Core) ReplicasChanged(now ident.Instant, put []catalogue.Replica, ended []ident.ReplicaID) {
+	c.book.Unchanged(now)
+	for _, r := range put {
+		c.book.Put(now, r)
+	}
+	for _, id := range ended {
+		c.book.Remove(now, id)
+	}
+	c.changed = c.changed || len(put)+len(ended) > 0
+	c.settle(now)
+}
+
+// ReplicasFailed notes that the list of replicas could not be read.
+func (c *Core) ReplicasFailed() { c.book.Away() }
+
+// ZonesOut takes the availability zones that get no work.
+func (c *Core) ZonesOut(now ident.Instant, zones []ident.ZoneID) {
+	c.book.SetZonesOut(zones)
+	c.changed = true
+	c.settle(now)
+}
+
+// Routes returns the version of the routes in force; 0 without any.
+func (c *Core) Routes() ident.RoutesVersion { return c.book.Version() }
--- a/control/view.go
+++ b/control/view.go
@@ -27,7 +27,7 @@
 		Version: c.configuration.Version,
 	}
 	if p := c.configuration.Current(); p != nil {
-		v.Ready, v.Preset = now >= c.readyAt, *p
+		v.Ready, v.Preset = now >= c.readyAt && (!c.config.Discovers || c.book.Ready()), *p
 	}
 	v.Out = c.configuration.ZoneIsOut(self.Zone) || c.configuration.VMIsOut(string(self.VM))
 	v.VMs = len(c.rank())
@@ -44,6 +44,9 @@
 		}
 		v.Services[i] = s
 	}
+	if c.config.Discovers {
+		c.book.View(v, c.config.Terms, c.rankOf)
+	}
 	if c.rosterChanged {
 		c.rosterChanged = false
 		c.members = c.viewMembers()
@@ -63,6 +66,7 @@
 	}
 	c.senders = senders
 	order := roster.NewOrder(c.config.Self.VM, senders)
+	c.order, c.found = order, map[ident.ReplicaID]int{}
 	c.ranks = make([][]int, len(c.config.Services))
 	for i, s := range c.config.Services {
 		c.ranks[i] = make([]int, len(s.Replicas))
@@ -73,6 +77,16 @@
 	return senders
 }
 
+// rankOf returns this VM's place in the order of a discovered replica.
+func (c *Core) rankOf(id ident.ReplicaID) int {
+	rank, ok := c.found[id]
+	if !ok {
+		rank = c.order.Rank(string(id))
+		c.found[id] = rank
+	}
+	return rank
+}
+
 // upstreamNews returns which replicas are leaving, and a mark for each that
 // some VM found cold.
 func (c *Core) upstreamNews() (leaving map[string]bool, cold map[string]uint64) {
--- a/door/door.go
+++ b/door/door.go
@@ -73,6 +73,9 @@
 // Leave stops the door from being ready. Requests are still served.
 func (d *Door) Leave() { d.leaving.Store(true) }
 
+// Leaving reports whether the door is about to close.
+func (d *Door) Leaving() bool { return d.leaving.Load() }
+
 // Ready reports whether the balancer should send requests here.
 func (d *Door) Ready() bool {
 	v := d.Board.Current()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -87,20 +87,13 @@
 	return m, nil
 }
 
-// Presets returns one preset for ordinary days, one for peaks and one for
-// maintenance.
+// Presets returns the presets of a new deployment.
 func Presets() []*schema.Preset {
-	ordinary, peak, maintenance := preset.Ordinary(), preset.Ordinary(), preset.Ordinary()
-	peak.Name = "peak"
-	peak.DefaultDeadline = 300 * time.Millisecond
-	peak.ExtraShare = 0.03
-	peak.QueueLength = 32
-	maintenance.Name = "maintenance"
-	maintenance.DefaultDeadline = time.Second
-	maintenance.LeastCoverage = 0.3
-	return []*schema.Preset{
-		codec.PresetMessage(&ordinary), codec.PresetMessage(&peak), codec.PresetMessage(&maintenance),
+	var out []*schema.Preset
+	for _, p := range preset.Builtin() {
+		out = append(out, codec.PresetMessage(&p))
 	}
+	return out
 }
 
 func (f *Fleet) makeSettings(base *schema.Settings) error {
--- a/node/passing.go
+++ b/node/passing.go
@@ -16,8 +16,9 @@
 // Reasons of refused passing requests, besides those of package admission.
 const (
 	upstreamFailed admission.Reason = "upstream-failed"
-	tooLate        admission.Reason = "deadline-passed"
-	tooFewShards   admission.Reason = "coverage-too-low"
+	// TooLate ended without enough results at its deadline.
+	TooLate      admission.Reason = "deadline-passed"
+	tooFewShards admission.Reason = "coverage-too-low"
 )
 
 const (
@@ -249,7 +250,7 @@
 	first := a.Coverage.Missing[0].Reason
 	switch {
 	case now >= q.deadline || first == coverage.Late:
-		reason = tooLate
+		reason = TooLate
 	case first == coverage.Failed || first == coverage.Lost:
 		reason = upstreamFailed
 	case first == coverage.Overload:
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -223,6 +223,23 @@
 	}
 }
 
+// Replace makes the list the whole roster, besides the VM itself.
+func (r *Roster) Replace(now ident.Instant, list []Member) {
+	keep := map[ident.VMID]bool{r.self: true}
+	for _, m := range list {
+		keep[m.VM] = true
+		if known := r.members[m.VM]; m.VM != r.self && (known == nil || known.Incarnation != m.Incarnation) {
+			r.set(now, m)
+		}
+	}
+	for vm := range r.members {
+		if !keep[vm] {
+			delete(r.members, vm)
+			r.hashed = false
+		}
+	}
+}
+
 // Changed returns the members that changed since the last call.
 func (r *Roster) Changed() []Member {
 	out := r.changed
--- a/settings/check.go
+++ b/settings/check.go
@@ -17,6 +17,9 @@
 	defaultStopWithin = 30 * time.Second
 	longestStopWithin = 10 * time.Minute
 	defaultTimeout    = 2 * time.Second
+	// defaultLeave lets a balancer that looks every 50 ms notice a stop.
+	defaultLeave      = 200 * time.Millisecond
+	longestSpan       = 10 * time.Minute
 	longestTimeout    = time.Minute
 	defaultRate       = 60
 	mostRate          = 500
@@ -38,6 +41,9 @@
 	if m.Vm.StopWithin == nil {
 		m.Vm.StopWithin = durationpb.New(defaultStopWithin)
 	}
+	if m.Vm.LeaveNotice == nil {
+		m.Vm.LeaveNotice = durationpb.New(defaultLeave)
+	}
 	if m.Platform.Timeout == nil {
 		m.Platform.Timeout = durationpb.New(defaultTimeout)
 	}
@@ -119,6 +125,7 @@
 		c.address("vm.operators", m.Vm.Operators)
 	}
 	c.duration("vm.stop-within", m.Vm.StopWithin, time.Millisecond, longestStopWithin)
+	c.duration("vm.leave-notice", m.Vm.LeaveNotice, 0, m.Vm.StopWithin.AsDuration())
 	c.address("platform.address", m.Platform.Address)
 	c.duration("platform.timeout", m.Platform.Timeout, time.Millisecond, longestTimeout)
 	if r := m.Platform.CallsPerSecond; r < 0.1 || r > mostRate {
@@ -127,7 +134,11 @@
 	c.oneOf("log-level", m.LogLevel, logLevels)
 	c.zones(m.Zones)
 	c.peers(m)
-	c.services(m)
+	if m.Discovery != nil {
+		c.discovery(m.Discovery)
+	} else {
+		c.services(m)
+	}
 	c.presets(m)
 	return c.bad
 }
@@ -169,6 +180,15 @@
 	}
 }
 
+func (c *checker) discovery(d *schema.DiscoverySettings) {
+	c.address("discovery.front", d.Front)
+	c.address("discovery.ready", d.Ready)
+	c.duration("discovery.extra-span", d.ExtraSpan, time.Millisecond, longestSpan)
+	if d.ExtraRatio < 0 || d.ExtraRatio > 1 {
+		c.add("discovery.extra-ratio", "found %v, allowed 0 to 1", d.ExtraRatio)
+	}
+}
+
 func (c *checker) services(m *schema.Settings) {
 	if len(m.Services) == 0 {
 		c.add("services", "found none, at least one is needed")
--- a/settings/typed.go
+++ b/settings/typed.go
@@ -5,6 +5,7 @@
 	"carawaycross.example/carawaycross/config"
 	"carawaycross.example/carawaycross/ident"
 	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/retry"
 	"carawaycross.example/carawaycross/roster"
 	"carawaycross.example/carawaycross/schema"
 	"carawaycross.example/carawaycross/snapshot"
@@ -85,6 +86,14 @@
 	return f
 }
 
+// Terms returns the bound of extra attempts at discovered services.
+func (s *Settings) Terms() retry.Terms {
+	d := s.Message.Discovery
+	return retry.Terms{
+		Ratio: ident.Share(d.GetExtraRatio()), Allowance: int(d.GetExtraAllowance()), Span: d.GetExtraSpan().AsDuration(),
+	}
+}
+
 // First returns the first configuration, for a platform that holds none.
 func (s *Settings) First() (config.Configuration, error) {
 	if len(s.Message.Presets) == 0 {
--- a/shape_test.go
+++ b/shape_test.go
@@ -18,11 +18,12 @@
 var decisionPackages = []string{
 	"ident", "policy", "container", "preset", "config", "snapshot", "coverage", "replica",
 	"retry", "admission", "poison", "booking", "view", "node", "roster", "news", "control",
+	"route", "passage", "merge", "catalogue",
 }
 
 // allowedImports are what a decision package may import besides its like.
 var allowedImports = []string{
-	"cmp", "errors", "fmt", "maps", "math/bits", "math/rand/v2", "reflect",
+	"bytes", "cmp", "container/heap", "errors", "fmt", "maps", "math", "math/bits", "math/rand/v2", "reflect",
 	"slices", "strconv", "strings", "time",
 	"github.com/cespare/xxhash/v2", "github.com/HdrHistogram/hdrhistogram-go",
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -88,6 +88,9 @@
 	return Stats{c.bytesOut.Load(), c.bytesIn.Load(), c.dials.Load()}
 }
 
+// Totals returns the client's totals, for metrics.
+func (c *Client) Totals() any { return c.Stats() }
+
 // Close closes the idle connections.
 func (c *Client) Close() error {
 	c.mu.Lock()
--- /dev/null
+++ b/vm/discovery.go
@@ -0,0 +1,225 @@
+package vm
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"carawaycross.example/carawaycross/booking"
+	"carawaycross.example/carawaycross/catalogue"
+	"carawaycross.example/carawaycross/clock"
+	"carawaycross.example/carawaycross/control"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/roster"
+	"carawaycross.example/carawaycross/traffic"
+	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/watch"
+)
+
+// listVMsEvery is the time between two reads of the list of VMs: a VM that comes
+// or goes changes the others' shares, which have room for one more.
+const listVMsEvery = 10 * time.Second
+
+// A Carrier sends attempts to upstreams.
+type Carrier interface {
+	traffic.Upstream
+	// Totals are counters for metrics.
+	Totals() any
+	Close() error
+}
+
+// A Registry keeps the list of VMs.
+type Registry interface {
+	Enter(ctx context.Context, vm platform.ListedVM) error
+	Withdraw(ctx context.Context, name string) error
+}
+
+// A Discovery connects a VM to routes and replicas that it is told of while it
+// runs. All fields must be set.
+type Discovery struct {
+	Carrier        Carrier
+	Registry       Registry
+	Replicas       watch.Source[catalogue.Replica]
+	Configurations watch.Source[catalogue.Configuration]
+	ZonesOut       watch.Source[ident.ZoneID]
+	// Front and Ready return the handlers of the clients' door and of the
+	// balancer's question.
+	Front func(lane *traffic.Lane, board *view.Board, leaving func() bool) http.Handler
+	Ready func(ready func() bool) http.Handler
+}
+
+type claimer interface {
+	traffic.Claimer
+	Close() error
+}
+
+// noClaims is the claimer of a VM that serves no requests with keys.
+type noClaims struct{}
+
+func (noClaims) Claim(context.Context, ident.RequestKey) booking.ClaimResult {
+	return booking.Unavailable
+}
+
+func (noClaims) Close() error { return nil }
+
+func (v *VM) startDiscovery(ctx context.Context, self roster.Member) error {
+	d, m := v.discovery, v.settings.Message.Discovery
+	front, err := net.Listen("tcp", m.Front)
+	if err != nil {
+		return &Error{"listen", CannotStart, err}
+	}
+	ready, err := net.Listen("tcp", m.Ready)
+	if err != nil {
+		_ = front.Close()
+		return &Error{"listen", CannotStart, err}
+	}
+	v.serve(ctx, front, d.Front(v.lane, v.board, v.door.Leaving))
+	v.serve(ctx, ready, d.Ready(v.door.Ready))
+	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, d.Replicas, v.replicaTaker()) })
+	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, d.Configurations, v.configurationTaker()) })
+	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, d.ZonesOut, v.zoneTaker()) })
+	v.group.Go(ctx, func(ctx context.Context) { v.enter(ctx, self) })
+	return nil
+}
+
+// enter puts this VM on the list of VMs, as often as it takes.
+func (v *VM) enter(ctx context.Context, self roster.Member) {
+	backoff := platform.Backoff{}
+	for ctx.Err() == nil {
+		err := v.discovery.Registry.Enter(ctx, platform.ListedVM{
+			Name: string(self.VM), Zone: string(self.Zone), Address: self.Address, Incarnation: uint64(self.Incarnation),
+		})
+		if err == nil {
+			return
+		}
+		v.log.Warn().Err(err).Msg("vm-not-listed")
+		clock.Sleep(ctx, backoff.Next(rand.Float64()))
+	}
+}
+
+// withdraw takes this VM off the list of VMs.
+func (v *VM) withdraw(ctx context.Context) {
+	if v.discovery == nil {
+		return
+	}
+	if err := v.discovery.Registry.Withdraw(ctx, v.settings.Message.Vm.Name); err != nil {
+		v.log.Warn().Err(err).Msg("vm-not-withdrawn")
+	}
+}
+
+// tell changes the control state by what a source told.
+func (v *VM) tell(ctx context.Context, f func(now ident.Instant, core *control.Core)) {
+	v.control.post(ctx, event{kind: told, tell: f})
+}
+
+// A dependency logs when a source is lost and when it is back.
+type dependency struct {
+	vm   *VM
+	kind string
+	lost bool
+}
+
+func (d *dependency) failed(err error) {
+	if !d.lost {
+		d.lost = true
+		d.vm.log.Warn().Str("kind", d.kind).Err(err).Msg("dependency-lost")
+	}
+}
+
+func (d *dependency) heard() {
+	if d.lost {
+		d.lost = false
+		d.vm.log.Info().Str("kind", d.kind).Msg("dependency-regained")
+	}
+}
+
+func (v *VM) replicaTaker() watch.Taker[catalogue.Replica] {
+	d := &dependency{vm: v, kind: v.discovery.Replicas.Kind()}
+	return watch.Taker[catalogue.Replica]{
+		Listed: func(ctx context.Context, items []platform.Change[catalogue.Replica]) {
+			d.heard()
+			list := make([]catalogue.Replica, 0, len(items))
+			for _, i := range items {
+				list = append(list, i.Value)
+			}
+			v.log.Info().Int("replicas", len(list)).Msg("replicas-listed")
+			v.tell(ctx, func(now ident.Instant, core *control.Core) { core.ReplicasListed(now, list) })
+		},
+		Changed: func(ctx context.Context, changes []platform.Change[catalogue.Replica]) {
+			d.heard()
+			var put []catalogue.Replica
+			var ended []ident.ReplicaID
+			for _, c := range changes {
+				if c.Deleted {
+					ended = append(ended, ident.ReplicaID(c.Name))
+				} else {
+					put = append(put, c.Value)
+				}
+				v.log.Info().Str("replica", c.Name).Str("service", string(c.Value.Service)).Bool("leaving", c.Value.Leaving).
+					Bool("gone", c.Deleted).Msg("replica-changed")
+			}
+			v.tell(ctx, func(now ident.Instant, core *control.Core) { core.ReplicasChanged(now, put, ended) })
+		},
+		Failed: func(ctx context.Context, _ string, err error) {
+			d.failed(err)
+			v.tell(ctx, func(_ ident.Instant, core *control.Core) { core.ReplicasFailed() })
+		},
+	}
+}
+
+func (v *VM) configurationTaker() watch.Taker[catalogue.Configuration] {
+	d := &dependency{vm: v, kind: v.discovery.Configurations.Kind()}
+	take := func(ctx context.Context, changes []platform.Change[catalogue.Configuration]) {
+		d.heard()
+		for _, c := range changes {
+			if c.Deleted {
+				continue
+			}
+			v.tell(ctx, func(now ident.Instant, core *control.Core) { core.Configured(now, c.Value) })
+		}
+	}
+	return watch.Taker[catalogue.Configuration]{
+		Listed: take, Changed: take,
+		Failed: func(_ context.Context, _ string, err error) { d.failed(err) },
+	}
+}
+
+func (v *VM) zoneTaker() watch.Taker[ident.ZoneID] {
+	d := &dependency{vm: v, kind: v.discovery.ZonesOut.Kind()}
+	out := map[ident.ZoneID]bool{}
+	publish := func(ctx context.Context) {
+		zones := make([]ident.ZoneID, 0, len(out))
+		for z := range out {
+			zones = append(zones, z)
+		}
+		v.log.Info().Interface("zones", zones).Msg("zones-out")
+		v.tell(ctx, func(now ident.Instant, core *control.Core) { core.ZonesOut(now, zones) })
+	}
+	return watch.Taker[ident.ZoneID]{
+		Listed: func(ctx context.Context, items []platform.Change[ident.ZoneID]) {
+			d.heard()
+			clear(out)
+			for _, i := range items {
+				out[i.Value] = true
+			}
+			publish(ctx)
+		},
+		Changed: func(ctx context.Context, changes []platform.Change[ident.ZoneID]) {
+			d.heard()
+			for _, c := range changes {
+				if c.Deleted {
+					delete(out, ident.ZoneID(c.Name))
+				} else {
+					out[c.Value] = true
+				}
+			}
+			if len(changes) > 0 {
+				publish(ctx)
+			}
+		},
+		Failed: func(_ context.Context, _ string, err error) { d.failed(err) },
+	}
+}
--- a/vm/loop.go
+++ b/vm/loop.go
@@ -33,6 +33,7 @@
 	operated
 	inspected
 	left
+	told
 )
 
 type event struct {
@@ -42,6 +43,8 @@
 	why           string
 	vms           []control.Listed
 	status        chan control.Status
+	// Tell changes the control state by what was learned.
+	tell func(now ident.Instant, core *control.Core)
 }
 
 // A sender queues a message to another VM without blocking.
@@ -69,6 +72,8 @@
 	// Watching and version belong to the loop's goroutine.
 	watching bool
 	version  ident.Version
+	routes   ident.RoutesVersion
+	ready    bool
 	buf      []control.Action
 }
 
@@ -123,6 +128,8 @@
 		e.status <- l.core.Status()
 	case left:
 		l.core.Leave(now)
+	case told:
+		e.tell(now, l.core)
 	}
 }
 
@@ -157,6 +164,14 @@
 }
 
 func (l *loop) publish(v *view.View) {
+	if v.RoutesVersion != l.routes {
+		l.routes = v.RoutesVersion
+		l.log.Info().Uint64("version", uint64(v.RoutesVersion)).Int("routes", v.Routes.Len()).Msg("routes-in-force")
+	}
+	if v.Ready != l.ready {
+		l.ready = v.Ready
+		l.log.Info().Bool("ready", v.Ready).Uint64("routes-version", uint64(v.RoutesVersion)).Msg("readiness")
+	}
 	if v.Version != l.version {
 		l.version = v.Version
 		l.log.Info().Uint32("version", uint32(v.Version)).Str("preset", string(v.Preset.Name)).
@@ -240,7 +255,10 @@
 func (l listener) Listed(vms []platform.ListedVM) {
 	list := make([]control.Listed, len(vms))
 	for i, vm := range vms {
-		list[i] = control.Listed{Name: vm.Name, Leaving: vm.Leaving}
+		list[i] = control.Listed{
+			Name: vm.Name, Leaving: vm.Leaving, Zone: ident.ZoneID(vm.Zone), Address: vm.Address,
+			Incarnation: ident.Incarnation(vm.Incarnation),
+		}
 	}
 	l.loop.post(l.ctx, event{kind: listed, vms: list})
 }
--- a/vm/status.go
+++ b/vm/status.go
@@ -160,7 +160,7 @@
 // publishVars adds the VM's own variables to /debug/vars.
 func (v *VM) publishVars() {
 	publish := func(name string, read func() any) { v.gauges.Publish(name, expvar.Func(read)) }
-	publish("upstream", func() any { return v.upstream.Stats() })
+	publish("upstream", func() any { return v.upstream.Totals() })
 	publish("queries-in-flight", func() any { return v.lane.InFlight() })
 	publish("reports-dropped", func() any { return v.lane.Dropped() })
 	publish("messages-dropped", func() any { return v.control.dropped.Load() })
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -25,6 +25,7 @@
 	"carawaycross.example/carawaycross/operator"
 	"carawaycross.example/carawaycross/peer"
 	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/roster"
 	"carawaycross.example/carawaycross/schema"
 	"carawaycross.example/carawaycross/settings"
 	"carawaycross.example/carawaycross/task"
@@ -35,12 +36,9 @@
 )
 
 const (
-	mostTasks     = 8
+	mostTasks     = 16
 	headerTimeout = 5 * time.Second
-	// leaveNotice is how long a stopping VM still answers after it stopped
-	// being ready, so that balancers and peers notice.
-	leaveNotice = 200 * time.Millisecond
-	drainLook   = 10 * time.Millisecond
+	drainLook     = 10 * time.Millisecond
 )
 
 // A Kind classifies an Error.
@@ -70,7 +68,9 @@
 	Store platform.Store
 	// Policies replace the decisions of traffic; nil fields take the defaults.
 	Policies node.Policies
-	Log      zerolog.Logger
+	// Discovery is set where routes and replicas come from the platform's store.
+	Discovery *Discovery
+	Log       zerolog.Logger
 }
 
 // A VM is one running entry VM.
@@ -81,8 +81,8 @@
 	board    *view.Board
 	control  *loop
 	lane     *traffic.Lane
-	upstream *upstream.Client
-	claimer  *claim.Claimer
+	upstream Carrier
+	claimer  claimer
 	peers    *peer.Transport
 	watcher  *watch.Watcher
 	store    platform.Store
@@ -93,6 +93,8 @@
 	operator net.Listener
 	group    *task.Group
 	cancel   context.CancelFunc
+	// Discovery is nil where the settings hold the catalogue.
+	discovery *Discovery
 }
 
 // noPeers is the sender of a VM without peers.
@@ -108,7 +110,10 @@
 	}
 	v := &VM{
 		settings: s, log: o.Log, clock: clock.New(), board: &view.Board{}, upstream: &upstream.Client{},
-		gauges: &gauge.Set{}, store: o.Store, group: task.NewGroup(mostTasks),
+		gauges: &gauge.Set{}, store: o.Store, group: task.NewGroup(mostTasks), discovery: o.Discovery,
+	}
+	if o.Discovery != nil {
+		v.upstream = o.Discovery.Carrier
 	}
 	if v.store == nil {
 		m := s.Message.Platform
@@ -125,13 +130,14 @@
 		cancel()
 		return nil, err
 	}
-	core := control.New(now, control.Config{
-		Self: self, Seeds: s.Seeds(), Services: s.Services(), Fleet: s.Fleet(), Random: newRandom(),
-	})
+	core := control.New(now, v.controlConfig(self, first))
 	v.control = newLoop(core, v.clock, v.board, noPeers{}, o.Log)
-	v.claimer = claim.Start(ctx, claim.Config{
-		Store: v.store, Deployment: v.deployment(), VM: self.VM, Incarnation: incarnation, Clock: v.clock,
-	})
+	v.claimer = noClaims{}
+	if o.Discovery == nil {
+		v.claimer = claim.Start(ctx, claim.Config{
+			Store: v.store, Deployment: v.deployment(), VM: self.VM, Incarnation: incarnation, Clock: v.clock,
+		})
+	}
 	v.newLane(self.VM, incarnation, o.Policies)
 	if err := v.startPeers(); err != nil {
 		cancel()
@@ -140,11 +146,28 @@
 	v.lane.Start(ctx)
 	v.startControl(ctx, first)
 	v.startDoors(ctx)
+	if o.Discovery != nil {
+		if err := v.startDiscovery(ctx, self); err != nil {
+			return nil, errors.Join(err, v.Close())
+		}
+	}
 	o.Log.Info().Str("vm", string(self.VM)).Str("zone", string(self.Zone)).
 		Str("listen", v.Address()).Msg("vm-started")
 	return v, nil
 }
 
+// controlConfig returns the identity and the catalogue of the control core.
+func (v *VM) controlConfig(self roster.Member, first config.Configuration) control.Config {
+	c := control.Config{
+		Self: self, Seeds: v.settings.Seeds(), Services: v.settings.Services(), Fleet: v.settings.Fleet(),
+		Random: newRandom(),
+	}
+	if v.discovery != nil {
+		c.Discovers, c.Peerless, c.First, c.Terms = true, true, first, v.settings.Terms()
+	}
+	return c
+}
+
 func (v *VM) deployment() platform.Deployment {
 	return platform.Deployment(v.settings.Message.Deployment)
 }
@@ -199,6 +222,9 @@
 		Store: v.store, Deployment: v.deployment(), Listener: listener{ctx, v.control},
 		First: first, Turn: v.control.turn,
 	}
+	if v.discovery != nil {
+		v.watcher.ListEvery = listVMsEvery
+	}
 	v.group.Go(ctx, v.control.run)
 	v.group.Go(ctx, v.watcher.Run)
 	v.group.Go(ctx, v.repair)
@@ -270,7 +296,8 @@
 	v.log.Info().Int("queries", v.lane.InFlight()).Msg("vm-stopping")
 	v.door.Leave()
 	v.control.post(ctx, event{kind: left})
-	clock.Sleep(ctx, leaveNotice)
+	v.withdraw(ctx)
+	clock.Sleep(ctx, v.settings.Message.Vm.LeaveNotice.AsDuration())
 	var err error
 	for _, s := range v.servers {
 		err = errors.Join(err, s.Shutdown(ctx))
--- /dev/null
+++ b/watch/feed.go
@@ -0,0 +1,73 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"carawaycross.example/carawaycross/clock"
+	"carawaycross.example/carawaycross/platform"
+)
+
+// longestRetry bounds the wait between two calls while the store fails: a change
+// must be in force within seconds of the store's return.
+const longestRetry = time.Second
+
+// A Source lists the objects of a kind and waits for their changes.
+type Source[T any] interface {
+	Kind() string
+	List(ctx context.Context) (platform.Listing[T], error)
+	Changes(ctx context.Context, after platform.StoreVersion) ([]platform.Change[T], platform.StoreVersion, error)
+}
+
+// A Taker takes what a source tells. Its methods do not block for long.
+type Taker[T any] struct {
+	Listed  func(ctx context.Context, items []platform.Change[T])
+	Changed func(ctx context.Context, changes []platform.Change[T])
+	Failed  func(ctx context.Context, kind string, err error)
+}
+
+// Follow lists a source and then follows its changes until the context is done.
+func Follow[T any](ctx context.Context, source Source[T], taker Taker[T]) {
+	backoff := platform.Backoff{Longest: longestRetry}
+	var at platform.StoreVersion
+	listed := false
+	for ctx.Err() == nil {
+		err := step(ctx, source, taker, &at, &listed)
+		if err == nil {
+			backoff.Reset()
+			continue
+		}
+		var e *platform.Error
+		if errors.As(err, &e) && e.Kind == platform.Compacted {
+			// The history is gone, the objects are not.
+			listed = false
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		taker.Failed(ctx, source.Kind(), err)
+		clock.Sleep(ctx, backoff.Next(rand.Float64()))
+	}
+}
+
+func step[T any](ctx context.Context, source Source[T], taker Taker[T], at *platform.StoreVersion, listed *bool) error {
+	if !*listed {
+		l, err := source.List(ctx)
+		if err != nil {
+			return err
+		}
+		taker.Listed(ctx, l.Items)
+		*at, *listed = l.Version, true
+		return nil
+	}
+	changes, version, err := source.Changes(ctx, *at)
+	if err != nil {
+		return err
+	}
+	taker.Changed(ctx, changes)
+	*at = version
+	return nil
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -17,6 +17,9 @@
 
 const (
 	listPeriod = time.Second
+	// firstLists are read at listPeriod, while a deployment starts; the period is
+	// then the watcher's own.
+	firstLists = 10
 	// createAfter is how long a VM listens to its peers before it creates the
 	// first configuration.
 	createAfter = 1500 * time.Millisecond
@@ -40,6 +43,9 @@
 	First config.Configuration
 	// Turn receives true when this VM shall watch and false when not.
 	Turn <-chan bool
+	// ListEvery is the time between two reads of the list of VMs once the VM has
+	// run for a while; 0 takes listPeriod.
+	ListEvery time.Duration
 }
 
 func (w *Watcher) object() string { return w.Deployment.Object(platform.ConfigurationObject) }
@@ -129,7 +135,7 @@
 // list reads the list of VMs.
 func (w *Watcher) list(ctx context.Context) {
 	var backoff platform.Backoff
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
 		vms, err := w.Store.VMs(ctx)
 		if err != nil {
 			clock.Sleep(ctx, backoff.Next(rand.Float64()))
@@ -137,7 +143,11 @@
 		}
 		backoff.Reset()
 		w.Listener.Listed(vms)
-		clock.Sleep(ctx, listPeriod)
+		period := listPeriod
+		if n >= firstLists {
+			period = max(period, w.ListEvery)
+		}
+		clock.Sleep(ctx, period)
 	}
 }
 
