--- a/watch/feed.go
+++ b/watch/feed.go
@@ -14,6 +14,11 @@
 // must be in force within seconds of the store's return.
 const longestRetry = time.Second
 
+// gatherFor passes after a change before the next watch, so that changes that
+// come close together cost one call. It is a tenth of the time within which a
+// change must be in force.
+const gatherFor = 300 * time.Millisecond
+
 // A Source lists the objects of a kind and waits for their changes.
 type Source[T any] interface {
 	Kind() string
@@ -43,6 +48,7 @@
 		if errors.As(err, &e) && e.Kind == platform.Compacted {
 			// The history is gone, the objects are not.
 			listed = false
+			clock.Sleep(ctx, gatherFor)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -69,5 +75,8 @@
 	}
 	taker.Changed(ctx, changes)
 	*at = version
+	if len(changes) > 0 {
+		clock.Sleep(ctx, gatherFor)
+	}
 	return nil
 }
