Watches wait within the calm window

Cause: a watch that fell silent during a compaction was noticed 5 s later, and the configuration read at 12.29 s, 30 ms after the store counted as calm. Ruled out: the watch being cut (its call ran into its own deadline). Change: a feed's watch waits the platform's calm window less 1.5 s.

--- a/carawaycross.go
+++ b/carawaycross.go
@@ -84,7 +84,7 @@
 		o(a)
 	}
 	m := boot.Settings.Message.Platform
-	store := &platform.Client{Address: m.Address, Rate: ident.Rate(m.CallsPerSecond)}
+	store := &platform.Client{Address: m.Address, Rate: ident.Rate(m.CallsPerSecond), WatchWait: boot.WatchWait}
 	log := a.options.Log
 	unreadable := func(kind, name string, err error) {
 		log.Warn().Str("kind", kind).Str("name", name).Err(err).Msg("entry-not-read")
