Tests of the platform's path: a model under load for the core, whole VMs against stand-ins

Patterns: pauses, slow replicas, a dark shard, lost answers, a burst; quotas sum to the terms; cold replicas are metered.

--- /dev/null
+++ b/fleet/site.go
@@ -0,0 +1,239 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"carawaycross.example/carawaycross/catalogue"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/retry"
+	"carawaycross.example/carawaycross/route"
+	"carawaycross.example/carawaycross/standin"
+)
+
+// A SiteSpec describes a deployment of stand-ins whose routes and replicas are
+// in the platform's store.
+type SiteSpec struct {
+	Zones []string
+	VMs   int
+	// Shards is the number of services that a search gathers; each has Replicas
+	// replicas, one a zone in turn.
+	Shards, Replicas, Slots, Connections int
+	// DeskReplicas is the number of replicas of the service that is not sharded.
+	DeskReplicas int
+	Work         time.Duration
+	Seed         uint64
+	// ReplicaAt, when set, maps the address of a replica or the store to the one
+	// that VMs are told, such as a proxy's.
+	ReplicaAt func(address string) string
+}
+
+// SmallSite is a deployment of three zones, for tests.
+func SmallSite() SiteSpec {
+	return SiteSpec{
+		Zones: []string{"windhoek-north", "windhoek-south", "okahandja"}, VMs: 2,
+		Shards: 4, Replicas: 3, Slots: 4, Connections: 35, DeskReplicas: 4, Work: 5 * time.Millisecond,
+	}
+}
+
+// The hosts and services of a Site.
+const (
+	SearchHost = "search.example"
+	DeskHost   = "desk.example"
+	Desk       = ident.ServiceID("kitchen-desk")
+	// CalmAfter is the time after which the store counts as calm, GraceFor the
+	// time from SIGTERM to SIGKILL.
+	CalmAfter = 2500 * time.Millisecond
+	GraceFor  = 4 * time.Second
+)
+
+// A Site is a running deployment of stand-ins. See StartSite.
+type Site struct {
+	Spec     SiteSpec
+	Platform *standin.Platform
+	Replicas []*standin.Replica
+	// Boots are the settings of the VMs.
+	Boots []platform.BootSpec
+	// Configuration is the newest that was written.
+	Configuration catalogue.Configuration
+}
+
+// StartSite starts the stand-ins and writes the first configuration.
+func StartSite(spec SiteSpec) (*Site, error) {
+	s := &Site{Spec: spec}
+	if err := s.start(); err != nil {
+		return nil, errors.Join(err, s.Close())
+	}
+	return s, nil
+}
+
+// Shard returns the name of a service that a search gathers.
+func Shard(i int) ident.ServiceID { return ident.ServiceID(fmt.Sprintf("route-planner-%d", i)) }
+
+func (s *Site) start() error {
+	var err error
+	if s.Platform, err = standin.NewPlatform(loopback); err != nil {
+		return err
+	}
+	for i := range s.Spec.Shards {
+		if err := s.startReplicas(Shard(i), s.Spec.Replicas); err != nil {
+			return err
+		}
+	}
+	if err := s.startReplicas(Desk, s.Spec.DeskReplicas); err != nil {
+		return err
+	}
+	if err := s.Configure(s.firstConfiguration()); err != nil {
+		return err
+	}
+	for i := range s.Spec.VMs {
+		boot, err := s.boot(i)
+		if err != nil {
+			return err
+		}
+		s.Boots = append(s.Boots, boot)
+	}
+	return nil
+}
+
+func (s *Site) startReplicas(service ident.ServiceID, n int) error {
+	for i := range n {
+		r, err := standin.NewReplica(loopback, standin.ReplicaConfig{
+			Replica: catalogue.Replica{
+				ID: ident.ReplicaID(fmt.Sprintf("%s.%d", service, i)), Service: service,
+				Zone: ident.ZoneID(s.Spec.Zones[i%len(s.Spec.Zones)]), Slots: s.Spec.Slots,
+			},
+			Work: s.Spec.Work, Seed: s.Spec.Seed + uint64(len(s.Replicas)),
+		})
+		if err != nil {
+			return err
+		}
+		s.Replicas = append(s.Replicas, r)
+		if err := s.Enter(r, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Enter writes a replica's entry, leaving or not.
+func (s *Site) Enter(r *standin.Replica, leaving bool) error {
+	e := r.Entry()
+	e.Leaving = leaving
+	e.Address = s.told(e.Address)
+	spec, err := platform.MarshalReplica(e, 0)
+	if err == nil {
+		s.Platform.Set(platform.ReplicaKind, string(e.ID), spec)
+	}
+	return err
+}
+
+// Withdraw removes a replica's entry.
+func (s *Site) Withdraw(r *standin.Replica) {
+	s.Platform.Remove(platform.ReplicaKind, string(r.Entry().ID))
+}
+
+func (s *Site) told(address string) string {
+	if s.Spec.ReplicaAt == nil {
+		return address
+	}
+	return s.Spec.ReplicaAt(address)
+}
+
+func (s *Site) firstConfiguration() catalogue.Configuration {
+	c := catalogue.Configuration{Version: 3, Limits: route.Limits{
+		HeaderBytes: 16 << 10, BodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
+	}}
+	all := route.Target{Weight: 1}
+	for i := range s.Spec.Shards {
+		all.Services = append(all.Services, Shard(i))
+		c.Services = append(c.Services, catalogue.Service{ID: Shard(i), Connections: s.Spec.Connections})
+	}
+	c.Services = append(c.Services, catalogue.Service{ID: Desk, Connections: s.Spec.Connections})
+	desk := []route.Target{{Services: []ident.ServiceID{Desk}, Weight: 1}}
+	c.Routes = []route.Route{
+		{
+			Name: "urgent", Host: SearchHost, Prefix: "/urgent/", Gather: true, Repeatable: true, Top: 5, LeastCoverage: 0.75,
+			Timeout: 600 * time.Millisecond, Goal: 60 * time.Millisecond, Rank: 2, Attempts: 2, Targets: []route.Target{all},
+		},
+		{
+			Name: "sweep", Host: SearchHost, Prefix: "/sweep/", Gather: true, Repeatable: true, Top: 50, LeastCoverage: 0.75,
+			Timeout: 1500 * time.Millisecond, Goal: 150 * time.Millisecond, Rank: 1, Attempts: 2, Targets: []route.Target{all},
+		},
+		{
+			Name: "look", Host: DeskHost, Prefix: "/look/", Repeatable: true,
+			Timeout: 3 * time.Second, Goal: 300 * time.Millisecond, Rank: 2, Attempts: 2, Targets: desk,
+		},
+		{
+			Name: "order", Host: DeskHost, Prefix: "/order/",
+			Timeout: 3 * time.Second, Goal: 300 * time.Millisecond, Rank: 2, Attempts: 2, Targets: desk,
+		},
+	}
+	return c
+}
+
+// Configure writes a configuration as the operator does.
+func (s *Site) Configure(c catalogue.Configuration) error {
+	spec, err := platform.MarshalConfiguration(c)
+	if err == nil {
+		s.Configuration = c
+		s.Platform.Set(platform.ConfigurationKind, platform.ConfigurationName, spec)
+	}
+	return err
+}
+
+func (s *Site) boot(i int) (platform.BootSpec, error) {
+	ports := make([]int, 3)
+	for j := range ports {
+		port, err := freeTCP()
+		if err != nil {
+			return platform.BootSpec{}, err
+		}
+		ports[j] = port
+	}
+	return platform.BootSpec{
+		VM: fmt.Sprintf("entry-%d", i), Zone: s.Spec.Zones[i%len(s.Spec.Zones)], Zones: s.Spec.Zones, IP: "127.0.0.1",
+		Front: ports[0], Ready: ports[1], Internal: ports[2], Store: s.told(s.Platform.Address()),
+		Grace: GraceFor, Calm: CalmAfter, Terms: retry.Terms{Ratio: 0.2, Allowance: 52, Span: 10 * time.Second},
+	}, nil
+}
+
+// freeTCP returns a loopback port that was free a moment ago.
+func freeTCP() (int, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return 0, err
+	}
+	_, text, err := net.SplitHostPort(l.Addr().String())
+	if err != nil {
+		return 0, errors.Join(err, l.Close())
+	}
+	port, err := strconv.Atoi(text)
+	return port, errors.Join(err, l.Close())
+}
+
+// Replica returns the stand-in of that name, or nil.
+func (s *Site) Replica(id ident.ReplicaID) *standin.Replica {
+	for _, r := range s.Replicas {
+		if r.Entry().ID == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// Close stops all stand-ins.
+func (s *Site) Close() error {
+	var err error
+	for _, r := range s.Replicas {
+		err = errors.Join(err, r.Close())
+	}
+	if s.Platform != nil {
+		err = errors.Join(err, s.Platform.Close())
+	}
+	return err
+}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -224,6 +224,11 @@
 		a.profile.latency.Record(now, took)
 		a.shard.Done(now)
 	}
+	if reply.Outcome == replica.Broken || reply.Outcome == replica.Unsent {
+		if q := c.query(ident.QueryID(a.query)); q != nil {
+			a.svc.budget(q.rank).Lost()
+		}
+	}
 	if reply.Outcome == replica.Shed {
 		if q := c.query(ident.QueryID(a.query)); q != nil {
 			a.svc.budget(q.rank).Shed(now)
--- a/node/passing.go
+++ b/node/passing.go
@@ -186,15 +186,16 @@
 // passed decides what follows from the end of an attempt on a route.
 func (c *Core) passed(now ident.Instant, q *query, a *attempt, reply *Reply) {
 	p := &q.parts[a.part]
-	switch {
-	case reply.Outcome == replica.OK:
+	switch reply.Outcome {
+	case replica.OK:
 		p.result, p.by, p.message = reply.Result, a.replica.ID, reply.Message
 		c.settle(now, q, a.part, covered, coverage.None)
 		return
-	case reply.Outcome == replica.Failed:
+	case replica.Failed:
 		q.failure = reply.Message
-	case reply.Outcome == replica.Unsent:
+	case replica.Unsent:
 		p.svc.quota.Refund(now)
+	default:
 	}
 	reason := reasonOf(reply.Outcome)
 	if !q.repeatable() && !reply.Outcome.NotRun() {
@@ -246,7 +247,7 @@
 
 // refuseFinished turns an answer with too few parts into a refusal.
 func (c *Core) refuseFinished(now ident.Instant, q *query, a *Answer) {
-	reason := admission.Reason(tooFewShards)
+	reason := tooFewShards
 	first := a.Coverage.Missing[0].Reason
 	switch {
 	case now >= q.deadline || first == coverage.Late:
--- /dev/null
+++ b/node/passing_test.go
@@ -0,0 +1,189 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/policy"
+	"carawaycross.example/carawaycross/route"
+)
+
+const modelSpan = 30 * time.Second
+
+func (m *model) check(t *testing.T) {
+	t.Helper()
+	for _, f := range m.faults {
+		t.Error(f)
+	}
+}
+
+// checkQuota: extra attempts of one VM alone, over the whole run, stay within
+// the terms of its windows.
+func (m *model) checkQuota(t *testing.T) {
+	t.Helper()
+	for id, n := range m.extra {
+		firsts := 0
+		for key := range m.first {
+			if len(key) > len(id) && key[len(key)-len(id):] == string(id) {
+				firsts++
+			}
+		}
+		windows := float64(modelSpan/(10*time.Second)) + 1
+		if most := 0.2*float64(firsts) + 52*windows; float64(n) > most {
+			t.Errorf("%s got %d extra attempts of %d first ones, allowed %.0f", id, n, firsts, most)
+		}
+	}
+}
+
+func (m *model) urgent(perS float64) *kindOfRequest {
+	return &kindOfRequest{
+		route: m.gather("urgent", 60*time.Millisecond, 600*time.Millisecond, 0.75, 2),
+		perS:  perS, work: 7 * time.Millisecond, within: 600 * time.Millisecond,
+	}
+}
+
+func (m *model) sweep(perS float64) *kindOfRequest {
+	return &kindOfRequest{
+		route: m.gather("sweep", 150*time.Millisecond, 1500*time.Millisecond, 0.89, 1),
+		perS:  perS, work: 20 * time.Millisecond, within: 1500 * time.Millisecond,
+	}
+}
+
+func (m *model) calm(kinds ...*kindOfRequest) {
+	until := m.now.Add(modelSpan)
+	for _, k := range kinds {
+		m.load(k, until)
+	}
+	m.run()
+}
+
+// TestGatherThroughPauses. Pattern: each replica stands still for 200 ms every
+// 4.5 s at its own time, and a search needs one of each of ten shards within 60
+// ms..
+func TestGatherThroughPauses(t *testing.T) {
+	served := func(p node.Policies) float64 {
+		m := newModel(1, p, 10, 3, 4)
+		m.pauses(4500*time.Millisecond, 200*time.Millisecond)
+		m.calm(m.urgent(11), m.sweep(34))
+		m.check(t)
+		m.checkQuota(t)
+		return m.outcomes["urgent"].served()
+	}
+	noHedge := node.Passing()
+	noHedge.HedgeDelay = policy.Func[node.HedgeQuestion, time.Duration](func(node.HedgeQuestion) time.Duration { return 0 })
+	product, plain := served(node.Passing()), served(noHedge)
+	t.Logf("in the goal: %.3f with hedges, %.3f without", product, plain)
+	if product < 0.98 {
+		t.Errorf("%.3f of the urgent searches were in their goal, expected 0.98", product)
+	}
+	if plain > product {
+		t.Errorf("hedges make it worse: %.3f without", plain)
+	}
+}
+
+// TestManyReplicasSlow. Pattern: one replica in six, over all shards, takes eight
+// times as long for the whole time.
+func TestManyReplicasSlow(t *testing.T) {
+	m := newModel(2, node.Passing(), 10, 3, 4)
+	m.pauses(4500*time.Millisecond, 200*time.Millisecond)
+	i := 0
+	for _, r := range m.byID {
+		if i++; i%6 == 0 {
+			r.slow = 8
+		}
+	}
+	m.calm(m.urgent(11), m.sweep(34))
+	m.check(t)
+	m.checkQuota(t)
+	for name, o := range m.outcomes {
+		if o.served() < 0.95 {
+			t.Errorf("%s: %.3f in the goal, expected 0.95 (%d partial, %d late, %d failed)", name, o.served(), o.partial, o.late, o.failed)
+		}
+	}
+}
+
+// TestShardGoesDark. Pattern: all replicas of one shard fall silent. Answers
+// leave at the goal with the other shards, not at the deadline.
+func TestShardGoesDark(t *testing.T) {
+	m := newModel(3, node.Passing(), 10, 3, 4)
+	for _, r := range m.services["s4"] {
+		r.dark = true
+	}
+	m.calm(m.urgent(11), m.sweep(34))
+	m.check(t)
+	m.checkQuota(t)
+	// One shard of ten is missing from each answer.
+	for name, o := range m.outcomes {
+		if o.inGoal < o.asked*95/100 {
+			t.Errorf("%s: %d of %d in the goal", name, o.inGoal, o.asked)
+		}
+	}
+}
+
+// TestLostAnswersRunOnce. Pattern: half of the replicas lose a third of their
+// answers after they ran the request, others refuse some; the requests may not
+// be repeated.
+func TestLostAnswersRunOnce(t *testing.T) {
+	m := newModel(4, node.Passing(), 1, 12, 3)
+	for i, r := range m.services["s0"] {
+		if i%2 == 0 {
+			r.loseShare = 0.33
+		} else {
+			r.shedShare = 0.2
+		}
+	}
+	k := &kindOfRequest{
+		route: &route.Route{
+			Name: "order", Goal: 600 * time.Millisecond, Timeout: 6 * time.Second, Attempts: 2, Rank: 2,
+			Targets: []route.Target{{Services: []ident.ServiceID{"s0"}, Weight: 1}},
+		},
+		perS: 20, work: 160 * time.Millisecond, within: 6 * time.Second,
+	}
+	m.calm(k)
+	m.check(t)
+	o := m.outcomes["order"]
+	if o.asked < 400 || o.inGoal+o.late+o.failed+o.refused != o.asked {
+		t.Fatalf("of %d requests %d served, %d late, %d failed, %d refused", o.asked, o.inGoal, o.late, o.failed, o.refused)
+	}
+	if served := float64(o.inGoal+o.late) / float64(o.asked); served < 0.85 {
+		t.Errorf("%.3f served, expected 0.85: replicas that lose answers are passed over", served)
+	}
+}
+
+// TestBurst. Pattern: three times what the replicas bear, half of it of the more
+// urgent kind. Who waits and who is refused: the urgent kind is served at least
+// as well, refusals are early and come with a time to return.
+func TestBurst(t *testing.T) {
+	m := newModel(5, node.Passing(), 1, 3, 4)
+	one := func(name ident.RouteID, rank int) *kindOfRequest {
+		return &kindOfRequest{
+			route: &route.Route{
+				Name: name, Goal: 150 * time.Millisecond, Timeout: 1500 * time.Millisecond, Attempts: 2, Rank: rank,
+				Repeatable: true, Targets: []route.Target{{Services: []ident.ServiceID{"s0"}, Weight: 1}},
+			},
+			perS: 900, work: 20 * time.Millisecond, within: 1500 * time.Millisecond,
+		}
+	}
+	until := m.now.Add(5 * time.Second)
+	m.load(one("high", 0), until)
+	m.load(one("low", 2), until)
+	m.run()
+	m.check(t)
+	high, low := m.outcomes["high"], m.outcomes["low"]
+	t.Logf("high: %d of %d in the goal, %d late, %d refused, %d failed; low: %d of %d in the goal, %d late, %d refused, %d failed",
+		high.inGoal, high.asked, high.late, high.refused, high.failed, low.inGoal, low.asked, low.late, low.refused, low.failed)
+	if high.served() < low.served() {
+		t.Errorf("the urgent kind is served less: %.2f against %.2f", high.served(), low.served())
+	}
+	// Twelve slots of 20 ms bear 600 a second: a third of the load.
+	if got := float64(high.inGoal+low.inGoal) / 5; got < 400 {
+		t.Errorf("%.0f answers a second in the goal, the replicas bear 600", got)
+	}
+	if n := high.refused + low.refused; n > 0 {
+		if held := (high.refusedAfter + low.refusedAfter) / time.Duration(n); held > 40*time.Millisecond {
+			t.Errorf("refused requests were held for %v on average", held)
+		}
+	}
+}
--- a/replica/cold.go
+++ b/replica/cold.go
@@ -15,7 +15,7 @@
 
 // bears reports whether a replica that says it is cold can take one more attempt
 // of this VM. The parts of all VMs sum to the replica's rate: the first token of
-// each comes in the order of their ranks.
+// each comes in the order of their ranks, the replica's rate apart.
 func (s *State) bears(now ident.Instant) bool {
 	g := &s.cold
 	if now >= s.ColdUntil || s.Shares.ColdRate <= 0 {
@@ -24,7 +24,7 @@
 	}
 	vms := float64(max(s.Shares.VMs, 1))
 	if !g.metred {
-		*g = coldGate{until: s.ColdUntil, tokens: -float64(s.Shares.Rank) / vms, at: now, metred: true}
+		*g = coldGate{until: s.ColdUntil, tokens: 1 - float64(s.Shares.Rank+1)/vms, at: now, metred: true}
 	}
 	g.tokens = min(g.tokens+now.Sub(g.at).Seconds()*float64(s.Shares.ColdRate)/vms, 1)
 	g.at = now
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -54,6 +54,11 @@
 	b.sheds.Add(now, 1)
 }
 
+// Lost earns the retry of an attempt whose upstream was lost with it: the retry
+// takes the place of work that the upstream no longer does, so that searches
+// which lose an upstream together need no new first attempts to go on.
+func (b *Budget) Lost() { b.reserve = min(b.reserve+1, budgetCap) }
+
 // Overload returns how far sheds have shrunk the budget: 0 for not at all, 1
 // for no extra attempts.
 func (b *Budget) Overload(now ident.Instant) float64 {
--- /dev/null
+++ b/retry/quota_test.go
@@ -0,0 +1,124 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/retry"
+)
+
+// TestQuotasSumToTheTerms: whatever VMs spend, and whichever of them start anew,
+// no window of the span holds more extra attempts than the ratio of the first
+// ones and the allowance. Pattern: every replica of a shard slows down at once,
+// so that each VM wants to hedge everything.
+func TestQuotasSumToTheTerms(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := retry.Terms{Ratio: 0.2, Allowance: 52, Span: 10 * time.Second}
+		vms := rapid.IntRange(1, 8).Draw(t, "VMs")
+		quotas := make([]retry.Quota, vms)
+		for i := range quotas {
+			quotas[i].Install(terms, vms)
+		}
+		type moment struct {
+			at            ident.Instant
+			firsts, extra int
+		}
+		var moments []moment
+		now := ident.Instant(time.Hour)
+		restarted := false
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			m := moment{at: now}
+			q := &quotas[rapid.IntRange(0, vms-1).Draw(t, "VM")]
+			if !restarted && rapid.IntRange(0, 50).Draw(t, "restart") == 0 {
+				// One VM is lost and comes back without its memory.
+				restarted = true
+				*q = retry.Quota{}
+				q.Install(terms, vms)
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "firsts") {
+				q.First(now)
+				m.firsts++
+			}
+			for range rapid.IntRange(0, 40).Draw(t, "wanted") {
+				if q.Spend(now, rapid.Bool().Draw(t, "hedge")) {
+					m.extra++
+				}
+			}
+			moments = append(moments, m)
+		}
+		count := func(from, to ident.Instant) (firsts, extra int) {
+			for _, m := range moments {
+				if m.at > from && m.at <= to {
+					firsts += m.firsts
+					extra += m.extra
+				}
+			}
+			return firsts, extra
+		}
+		for _, m := range moments {
+			end := m.at
+			start := end.Add(-terms.Span)
+			firsts, extra := count(start, end)
+			before, _ := count(start.Add(-terms.Span), start)
+			half, _ := count(start.Add(-terms.Span/2), end.Add(-terms.Span/2))
+			most := float64(terms.Ratio)*float64(max(firsts, before, half)) + float64(terms.Allowance)
+			if float64(extra) > most {
+				t.Fatalf("%d extra attempts in a window, allowed %.1f", extra, most)
+			}
+		}
+	})
+}
+
+func TestHedgesLeaveRoomForRetries(t *testing.T) {
+	var q retry.Quota
+	q.Install(retry.Terms{Ratio: 0.2, Allowance: 10, Span: 10 * time.Second}, 1)
+	now := ident.Instant(time.Hour)
+	for range 500 {
+		q.First(now)
+	}
+	hedges := 0
+	for q.Spend(now, true) {
+		hedges++
+	}
+	if hedges == 0 || !q.Spend(now, false) {
+		t.Fatalf("%d hedges left no room for a retry", hedges)
+	}
+}
+
+func TestUnsetTermsRefuse(t *testing.T) {
+	var q retry.Quota
+	if q.First(1); q.Spend(1, false) {
+		t.Fatal("a quota without terms let an attempt through")
+	}
+}
+
+// TestLostUpstreamEarnsItsRetries: callers that lose one upstream together go on
+// although no new first attempt earns for them. Pattern: all callers of a VM
+// wait for retries.
+func TestLostUpstreamEarnsItsRetries(t *testing.T) {
+	var b retry.Budget
+	now := ident.Instant(time.Hour)
+	b.First(now, 0.05, 0.10)
+	for b.Retry(now) {
+	}
+	const lost = 8
+	for range lost {
+		b.Lost()
+	}
+	for i := range lost {
+		if !b.Retry(now) {
+			t.Fatalf("attempt %d of %d on the lost upstream has no retry", i+1, lost)
+		}
+	}
+	if b.Retry(now) {
+		t.Fatal("more retries than lost attempts")
+	}
+	b.Lost()
+	if b.Hedge(now) {
+		t.Fatal("a hedge took the retry of a lost attempt")
+	}
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -16,6 +16,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"carawaycross.example/carawaycross/clock"
+	"carawaycross.example/carawaycross/platform/wire"
 )
 
 const (
@@ -25,20 +26,10 @@
 	longestWait = 30 * time.Second
 	// keptEvents is the history that a watch may begin in.
 	keptEvents = 10_000
-	vmKind     = "carawaycross-vms"
 )
 
-type stored struct {
-	Meta struct {
-		Name       string   `json:"name"`
-		Revision   uint64   `json:"revision"`
-		CreatedRev uint64   `json:"createdRev"`
-		Finalizers []string `json:"finalizers"`
-		Deleting   bool     `json:"deleting"`
-	} `json:"meta"`
-	Spec   json.RawMessage `json:"spec"`
-	Status json.RawMessage `json:"status"`
-}
+// stored is an object as the store keeps it.
+type stored = wire.Envelope
 
 type happening struct {
 	revision uint64
@@ -95,11 +86,11 @@
 	}
 	r := chi.NewRouter()
 	r.Use(p.admit)
-	r.Get("/api/objects/{kind}", p.list)
-	r.Post("/api/objects/{kind}", p.create)
-	r.Get("/api/objects/{kind}/{name}", p.get)
-	r.Put("/api/objects/{kind}/{name}", p.put)
-	r.Delete("/api/objects/{kind}/{name}", p.remove)
+	r.Get(wire.ObjectsPath+"{kind}", p.list)
+	r.Post(wire.ObjectsPath+"{kind}", p.create)
+	r.Get(wire.ObjectsPath+"{kind}/{name}", p.get)
+	r.Put(wire.ObjectsPath+"{kind}/{name}", p.put)
+	r.Delete(wire.ObjectsPath+"{kind}/{name}", p.remove)
 	p.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Second}
 	go func() { p.done <- p.server.Serve(listener) }()
 	return p, nil
@@ -127,7 +118,7 @@
 // SetVM puts a VM on the list, leaving or not.
 func (p *Platform) SetVM(name string, leaving bool) {
 	spec, _ := json.Marshal(map[string]any{"leaving": leaving})
-	p.Set(vmKind, name, spec)
+	p.Set(wire.VMKind, name, spec)
 }
 
 // Set writes an object as the operator or a replica would.
@@ -224,7 +215,7 @@
 	p.revision++
 	o, known := p.kinds[kind][name]
 	if !known {
-		o.Meta.Name, o.Meta.CreatedRev = name, p.revision
+		o.Meta.Name = name
 	}
 	o.Meta.Revision, o.Spec = p.revision, spec
 	p.kinds[kind][name] = o
@@ -257,11 +248,11 @@
 }
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Has("watch") {
+	if r.URL.Query().Has(wire.ParamWatch) {
 		p.watch(w, r)
 		return
 	}
-	after := r.URL.Query().Get("after")
+	after := r.URL.Query().Get(wire.ParamAfter)
 	p.mu.Lock()
 	var names []string
 	objects := p.kinds[chi.URLParam(r, "kind")]
@@ -271,20 +262,18 @@
 		}
 	}
 	slices.Sort(names)
-	page := map[string]any{"more": len(names) > pageSize, "storeRevision": p.revision}
-	items := []stored{}
+	page := wire.Page{More: len(names) > pageSize, Revision: p.revision, Items: []json.RawMessage{}}
 	for _, name := range names[:min(len(names), pageSize)] {
-		items = append(items, objects[name])
+		page.Items = append(page.Items, encode(objects[name]))
 	}
 	p.mu.Unlock()
-	page["items"] = items
 	reply(w, http.StatusOK, page)
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
 	kind := chi.URLParam(r, "kind")
-	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	after, _ := strconv.ParseUint(r.URL.Query().Get(wire.ParamWatch), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get(wire.ParamWait))
 	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, longestWait))
 	defer timer.Stop()
 	for {
@@ -297,13 +286,13 @@
 			return
 		}
 		if len(events) > 0 && !silent {
-			reply(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
+			reply(w, http.StatusOK, wire.Changes{Events: events, Revision: revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			reply(w, http.StatusOK, map[string]any{"events": []any{}, "storeRevision": revision})
+			reply(w, http.StatusOK, wire.Changes{Events: []wire.Event{}, Revision: revision})
 			return
 		case <-r.Context().Done():
 			return
@@ -311,11 +300,11 @@
 	}
 }
 
-func (p *Platform) since(kind string, after uint64) []map[string]any {
-	var events []map[string]any
+func (p *Platform) since(kind string, after uint64) []wire.Event {
+	var events []wire.Event
 	for _, h := range p.history {
 		if h.kind == kind && h.revision > after {
-			events = append(events, map[string]any{"object": h.object, "deleted": h.deleted})
+			events = append(events, wire.Event{Object: encode(h.object), Deleted: h.deleted})
 		}
 	}
 	return events
@@ -334,7 +323,9 @@
 
 func (p *Platform) create(w http.ResponseWriter, r *http.Request) { p.write(w, r, "") }
 
-func (p *Platform) put(w http.ResponseWriter, r *http.Request) { p.write(w, r, chi.URLParam(r, "name")) }
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	p.write(w, r, chi.URLParam(r, "name"))
+}
 
 // write creates an object when name is empty, and replaces one otherwise.
 func (p *Platform) write(w http.ResponseWriter, r *http.Request, name string) {
@@ -381,6 +372,12 @@
 	reply(w, http.StatusOK, struct{}{})
 }
 
+func encode(o stored) json.RawMessage {
+	// An envelope holds nothing that cannot be encoded.
+	text, _ := json.Marshal(o)
+	return text
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	text, err := json.Marshal(body)
 	if err != nil {
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -383,3 +383,6 @@
 	report, _ := v.lane.Inspect(ctx)
 	return report
 }
+
+// InFlight returns the number of requests that are not answered.
+func (v *VM) InFlight() int { return v.lane.InFlight() }
