VMs read the store through one VM of their zone

Ruled out: longer waits alone (events, not waits, are most of the calls). Change: package mirror; the first VM of a zone in an agreed order reads the store, the others ask it over QUIC; certificates are pinned by the digests in the VMs' own entries. A mirror that is silent for 1.5 s or out of touch is passed over, and a VM without one reads the store itself.

--- a/carawaycross.go
+++ b/carawaycross.go
@@ -91,9 +91,10 @@
 	}
 	replicas, configurations, zones := store.Replicas(clock.New()), store.Configurations(), store.ZonesOut()
 	replicas.Unreadable, configurations.Unreadable, zones.Unreadable = unreadable, unreadable, unreadable
+	presets := store.Objects(boot.PresetsObject())
 	a.options.Store = store
 	a.options.Discovery = &vm.Discovery{
-		Carrier: &platform.Sender{}, Registry: store,
+		Carrier: &platform.Sender{}, Registry: store, Presets: presets,
 		Replicas: replicas, Configurations: configurations, ZonesOut: zones,
 		Front: func(lane *traffic.Lane, board *view.Board, leaving func() bool) http.Handler {
 			return &platform.Front{Lane: lane, Board: board, Log: log, Leaving: leaving}
--- /dev/null
+++ b/codec/catalogue.go
@@ -0,0 +1,100 @@
+package codec
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"carawaycross.example/carawaycross/catalogue"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/route"
+	"carawaycross.example/carawaycross/schema"
+)
+
+// MarshalReplica returns the encoded form of a replica's entry. The time for
+// which it stays cold is sent as time left.
+func MarshalReplica(now ident.Instant, r catalogue.Replica) ([]byte, error) {
+	m := &schema.CatalogueReplica{
+		Id: string(r.ID), Service: string(r.Service), Zone: string(r.Zone), Address: r.Address,
+		Born: uint64(r.Born), Slots: uint32(r.Slots), Leaving: r.Leaving,
+	}
+	if left := r.ColdUntil.Sub(now); r.ColdUntil != 0 && left > 0 {
+		m.ColdMs = uint32(left / time.Millisecond)
+	}
+	return proto.Marshal(m)
+}
+
+// UnmarshalReplica reads the encoded form of a replica's entry.
+func UnmarshalReplica(now ident.Instant, b []byte) (catalogue.Replica, error) {
+	var m schema.CatalogueReplica
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return catalogue.Replica{}, err
+	}
+	r := catalogue.Replica{
+		ID: ident.ReplicaID(m.Id), Service: ident.ServiceID(m.Service), Zone: ident.ZoneID(m.Zone), Address: m.Address,
+		Born: ident.Incarnation(m.Born), Slots: int(m.Slots), Leaving: m.Leaving,
+	}
+	if m.ColdMs > 0 {
+		r.ColdUntil = now.Add(time.Duration(m.ColdMs) * time.Millisecond)
+	}
+	return r, nil
+}
+
+// MarshalRoutes returns the encoded form of a version of the routes.
+func MarshalRoutes(c catalogue.Configuration) ([]byte, error) {
+	m := &schema.CatalogueConfiguration{Version: uint64(c.Version), Limits: &schema.CatalogueLimits{
+		HeaderBytes: int32(c.Limits.HeaderBytes), BodyBytes: int32(c.Limits.BodyBytes),
+		HeaderMs: toMilliseconds(c.Limits.HeaderTimeout), IdleMs: toMilliseconds(c.Limits.IdleTimeout),
+	}}
+	for _, s := range c.Services {
+		m.Services = append(m.Services, &schema.CatalogueService{
+			Id: string(s.ID), Connections: int32(s.Connections), ColdRate: float64(s.ColdRate),
+		})
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		one := &schema.CatalogueRoute{
+			Name: string(r.Name), Host: r.Host, Prefix: r.Prefix, Repeatable: r.Repeatable, Gather: r.Gather,
+			Top: int32(r.Top), LeastCoverage: float64(r.LeastCoverage), TimeoutMs: toMilliseconds(r.Timeout),
+			GoalMs: toMilliseconds(r.Goal), Rank: int32(r.Rank), Attempts: int32(r.Attempts),
+		}
+		for _, t := range r.Targets {
+			one.Targets = append(one.Targets, &schema.CatalogueTarget{Services: cast[string](t.Services), Weight: t.Weight})
+		}
+		m.Routes = append(m.Routes, one)
+	}
+	return proto.Marshal(m)
+}
+
+// UnmarshalRoutes reads the encoded form of a version of the routes.
+func UnmarshalRoutes(b []byte) (catalogue.Configuration, error) {
+	var m schema.CatalogueConfiguration
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return catalogue.Configuration{}, err
+	}
+	c := catalogue.Configuration{Version: ident.RoutesVersion(m.Version), Limits: route.Limits{
+		HeaderBytes: int(m.GetLimits().GetHeaderBytes()), BodyBytes: int(m.GetLimits().GetBodyBytes()),
+		HeaderTimeout: fromMilliseconds(m.GetLimits().GetHeaderMs()), IdleTimeout: fromMilliseconds(m.GetLimits().GetIdleMs()),
+	}}
+	for _, s := range m.Services {
+		c.Services = append(c.Services, catalogue.Service{
+			ID: ident.ServiceID(s.Id), Connections: int(s.Connections), ColdRate: ident.Rate(s.ColdRate),
+		})
+	}
+	for _, r := range m.Routes {
+		one := route.Route{
+			Name: ident.RouteID(r.Name), Host: r.Host, Prefix: r.Prefix, Repeatable: r.Repeatable, Gather: r.Gather,
+			Top: int(r.Top), LeastCoverage: ident.Share(r.LeastCoverage), Timeout: fromMilliseconds(r.TimeoutMs),
+			Goal: fromMilliseconds(r.GoalMs), Rank: int(r.Rank), Attempts: int(r.Attempts),
+		}
+		for _, t := range r.Targets {
+			one.Targets = append(one.Targets, route.Target{Services: cast[ident.ServiceID](t.Services), Weight: t.Weight})
+		}
+		c.Routes = append(c.Routes, one)
+	}
+	return c, nil
+}
+
+func toMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMilliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/mirror/choice.go
@@ -0,0 +1,102 @@
+package mirror
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carawaycross.example/carawaycross/ident"
+)
+
+// distrustFor is how long a mirror that did not answer is passed over: about as
+// long as a VM takes to restart.
+const distrustFor = 5 * time.Second
+
+// mirrorsTried is how many mirrors a VM asks before it reads the store itself.
+const mirrorsTried = 2
+
+// A Member is a VM that may be a mirror.
+type Member struct {
+	VM      ident.VMID
+	Zone    ident.ZoneID
+	Address string
+	// Certificate is the digest of the one that the VM shows.
+	Certificate string
+}
+
+// A Choice tells a VM whom to read from: the VMs of its own zone that come
+// before it in an order on which all agree, the first one first. The first VM of
+// a zone has none before it and reads the store. Its methods may be called from
+// several goroutines.
+type Choice struct {
+	self Member
+
+	mu      sync.Mutex
+	members map[ident.VMID]Member
+	// Order holds the VMs of the own zone, the first one first.
+	order []Member
+	// Distrusted holds until when a mirror is passed over.
+	distrusted map[ident.VMID]time.Time
+}
+
+// NewChoice returns the Choice of a VM that knows no other.
+func NewChoice(self Member) *Choice {
+	return &Choice{self: self, members: map[ident.VMID]Member{}, distrusted: map[ident.VMID]time.Time{}}
+}
+
+// Listed takes the list of VMs.
+func (c *Choice) Listed(members []Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.members)
+	c.order = c.order[:0]
+	for _, m := range members {
+		c.members[m.VM] = m
+		if m.Zone == c.self.Zone && m.Certificate != "" {
+			c.order = append(c.order, m)
+		}
+	}
+	slices.SortFunc(c.order, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(weight(a.VM), weight(b.VM)), cmp.Compare(a.VM, b.VM))
+	})
+}
+
+// weight spreads the order over the VMs' names, so that it does not follow the
+// numbers in them.
+func weight(vm ident.VMID) uint64 { return xxhash.Sum64String("mirror " + string(vm)) }
+
+// Certificate returns the digest of a VM's certificate.
+func (c *Choice) Certificate(vm ident.VMID) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.members[vm]
+	return m.Certificate, ok && m.Certificate != ""
+}
+
+// Mirrors returns the VMs to ask now, the best one first; none when this VM
+// should read the store itself.
+func (c *Choice) Mirrors(now time.Time) []Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Member
+	for _, m := range c.order {
+		if m.VM == c.self.VM || len(out) == mirrorsTried {
+			break
+		}
+		if now.Before(c.distrusted[m.VM]) {
+			continue
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// Distrust passes a mirror over for a while.
+func (c *Choice) Distrust(now time.Time, vm ident.VMID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.distrusted[vm] = now.Add(distrustFor)
+}
--- /dev/null
+++ b/mirror/message.go
@@ -0,0 +1,44 @@
+package mirror
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/schema"
+)
+
+// QuestionMessage returns the message of a question to a
+func QuestionMessage(q Question) *schema.MirrorQuestion {
+	return &schema.MirrorQuestion{Kind: q.Kind, After: uint64(q.After), WaitMs: uint32(q.Wait.Milliseconds())}
+}
+
+// QuestionOf returns the typed question.
+func QuestionOf(m *schema.MirrorQuestion) Question {
+	return Question{
+		Kind: m.GetKind(), After: platform.StoreVersion(m.GetAfter()), Wait: time.Duration(m.GetWaitMs()) * time.Millisecond,
+	}
+}
+
+// MarshalAnswer returns the encoded form of a mirror's answer.
+func MarshalAnswer(a Answer[[]byte]) ([]byte, error) {
+	m := &schema.MirrorAnswer{Outcome: string(a.Outcome), Version: uint64(a.Version)}
+	for _, c := range a.Changes {
+		m.Changes = append(m.Changes, &schema.MirrorChange{Name: c.Name, Value: c.Value, Deleted: c.Deleted})
+	}
+	return proto.Marshal(m)
+}
+
+// UnmarshalAnswer reads the encoded form of a mirror's answer.
+func UnmarshalAnswer(b []byte) (Answer[[]byte], error) {
+	var m schema.MirrorAnswer
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return Answer[[]byte]{}, err
+	}
+	a := Answer[[]byte]{Outcome: Outcome(m.Outcome), Version: platform.StoreVersion(m.Version)}
+	for _, c := range m.Changes {
+		a.Changes = append(a.Changes, platform.Change[[]byte]{Name: c.Name, Value: c.Value, Deleted: c.Deleted})
+	}
+	return a, nil
+}
--- /dev/null
+++ b/mirror/reader.go
@@ -0,0 +1,148 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"carawaycross.example/carawaycross/platform"
+)
+
+const (
+	// waitAtMirror is how long a question to a mirror waits for a change. It is
+	// short, since a mirror that fell silent must be noticed within the time in
+	// which a change has to be in force.
+	waitAtMirror = time.Second
+	// answerWithin is added for the way there and back.
+	answerWithin = 500 * time.Millisecond
+)
+
+// A Source reads the objects of one kind.
+type Source[T any] interface {
+	Kind() string
+	List(ctx context.Context) (platform.Listing[T], error)
+	Changes(ctx context.Context, after platform.StoreVersion) ([]platform.Change[T], platform.StoreVersion, error)
+}
+
+// A Codec turns values into bytes and back.
+type Codec[T any] struct {
+	Marshal   func(T) ([]byte, error)
+	Unmarshal func([]byte) (T, error)
+}
+
+// A Question is what one VM asks another.
+type Question struct {
+	Kind string
+	// After is the version after which changes are wanted; 0 for all objects.
+	After platform.StoreVersion
+	Wait  time.Duration
+}
+
+// A Line carries questions to other VMs.
+type Line interface {
+	Ask(ctx context.Context, to Member, q Question) (Answer[[]byte], error)
+}
+
+// A Reader reads one kind from a mirror where there is one, and else from the
+// store, and keeps what it read for others.
+type Reader[T any] struct {
+	source Source[T]
+	codec  Codec[T]
+	choice *Choice
+	line   Line
+	book   Book[T]
+}
+
+// NewReader returns a Reader of a source.
+func NewReader[T any](source Source[T], codec Codec[T], choice *Choice, line Line) *Reader[T] {
+	return &Reader[T]{source: source, codec: codec, choice: choice, line: line}
+}
+
+// Kind returns the name of the kind.
+func (r *Reader[T]) Kind() string { return r.source.Kind() }
+
+// List returns all objects.
+func (r *Reader[T]) List(ctx context.Context) (platform.Listing[T], error) {
+	for _, m := range r.choice.Mirrors(time.Now()) {
+		if a, ok := r.ask(ctx, m, Question{Kind: r.Kind()}); ok {
+			l := platform.Listing[T]{Items: a.Changes, Version: a.Version}
+			r.book.Listed(l)
+			return l, nil
+		}
+	}
+	l, err := r.source.List(ctx)
+	if err != nil {
+		r.book.Failed()
+		return l, err
+	}
+	r.book.Listed(l)
+	return l, nil
+}
+
+// Changes waits for changes after a version.
+func (r *Reader[T]) Changes(ctx context.Context, after platform.StoreVersion) ([]platform.Change[T], platform.StoreVersion, error) {
+	for _, m := range r.choice.Mirrors(time.Now()) {
+		a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: waitAtMirror})
+		if !ok {
+			continue
+		}
+		if a.Outcome == Compacted {
+			return nil, after, &platform.Error{Op: "mirror", Kind: platform.Compacted, Err: errBehind}
+		}
+		r.book.Changed(a.Changes, a.Version)
+		return a.Changes, a.Version, nil
+	}
+	changes, version, err := r.source.Changes(ctx, after)
+	if err != nil {
+		r.book.Failed()
+		return nil, after, err
+	}
+	r.book.Changed(changes, version)
+	return changes, version, nil
+}
+
+var errBehind = errors.New("the mirror dropped the history asked for")
+
+// ask puts a question to a mirror; false when it could not tell.
+func (r *Reader[T]) ask(ctx context.Context, m Member, q Question) (Answer[T], bool) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+answerWithin)
+	defer cancel()
+	raw, err := r.line.Ask(ctx, m, q)
+	if err != nil || raw.Outcome == OutOfTouch {
+		r.choice.Distrust(time.Now(), m.VM)
+		return Answer[T]{}, false
+	}
+	a := Answer[T]{Outcome: raw.Outcome, Version: raw.Version, Changes: make([]platform.Change[T], 0, len(raw.Changes))}
+	for _, c := range raw.Changes {
+		one := platform.Change[T]{Name: c.Name, Deleted: c.Deleted}
+		if !c.Deleted {
+			if one.Value, err = r.codec.Unmarshal(c.Value); err != nil {
+				r.choice.Distrust(time.Now(), m.VM)
+				return Answer[T]{}, false
+			}
+		}
+		a.Changes = append(a.Changes, one)
+	}
+	return a, true
+}
+
+// Answer answers another VM's question.
+func (r *Reader[T]) Answer(ctx context.Context, q Question) Answer[[]byte] {
+	a := r.book.List()
+	if q.After > 0 {
+		a = r.book.Changes(ctx, q.After, min(q.Wait, waitAtMirror))
+	}
+	out := Answer[[]byte]{Outcome: a.Outcome, Version: a.Version}
+	for _, c := range a.Changes {
+		one := platform.Change[[]byte]{Name: c.Name, Deleted: c.Deleted}
+		if !c.Deleted {
+			value, err := r.codec.Marshal(c.Value)
+			if err != nil {
+				return Answer[[]byte]{Outcome: OutOfTouch}
+			}
+			one.Value = value
+		}
+		out.Changes = append(out.Changes, one)
+	}
+	return out
+}
--- a/peer/keys.go
+++ b/peer/keys.go
@@ -48,6 +48,11 @@
 	return loaded, nil
 }
 
+func (k *Keys) check() error {
+	_, err := k.config()
+	return err
+}
+
 func (k *Keys) modified() [3]time.Time {
 	var stamps [3]time.Time
 	for i, path := range []string{k.Certificate, k.Key, k.Authority} {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -65,7 +66,7 @@
 
 // A Transport meets the other VMs. See Listen.
 type Transport struct {
-	keys     *Keys
+	keys     Identity
 	handler  Handler
 	quic     *quic.Transport
 	listener *quic.Listener
@@ -102,9 +103,18 @@
 	BytesOut, BytesIn, MessagesOut, MessagesIn, Dropped, Dials int64
 }
 
+// An Identity is how a VM proves who it is and checks others: Keys or Pinned.
+type Identity interface {
+	// check returns an error when the identity cannot be used.
+	check() error
+	server() *tls.Config
+	// client returns a configuration that expects the VM of that name.
+	client(vm string) (*tls.Config, error)
+}
+
 // Listen starts a Transport on a UDP address, IP:port.
-func Listen(address string, keys *Keys, handler Handler) (*Transport, error) {
-	if _, err := keys.config(); err != nil {
+func Listen(address string, keys Identity, handler Handler) (*Transport, error) {
+	if err := keys.check(); err != nil {
 		return nil, err
 	}
 	addr, err := net.ResolveUDPAddr("udp", address)
--- a/settings/typed.go
+++ b/settings/typed.go
@@ -96,6 +96,9 @@
 
 // First returns the first configuration, for a platform that holds none.
 func (s *Settings) First() (config.Configuration, error) {
+	if len(s.Message.Presets) == 0 && s.Message.Discovery != nil {
+		return config.First(preset.Passing(), preset.Passing()[0].Name)
+	}
 	if len(s.Message.Presets) == 0 {
 		p := preset.Ordinary()
 		return config.First([]preset.Preset{p}, p.Name)
--- a/vm/discovery.go
+++ b/vm/discovery.go
@@ -10,6 +10,7 @@
 	"carawaycross.example/carawaycross/booking"
 	"carawaycross.example/carawaycross/catalogue"
 	"carawaycross.example/carawaycross/clock"
+	"carawaycross.example/carawaycross/codec"
 	"carawaycross.example/carawaycross/control"
 	"carawaycross.example/carawaycross/ident"
 	"carawaycross.example/carawaycross/platform"
@@ -40,8 +41,10 @@
 // A Discovery connects a VM to routes and replicas that it is told of while it
 // runs. All fields must be set.
 type Discovery struct {
-	Carrier        Carrier
-	Registry       Registry
+	Carrier  Carrier
+	Registry Registry
+	// Presets follows the object that holds the presets.
+	Presets        watch.Source[[]byte]
 	Replicas       watch.Source[catalogue.Replica]
 	Configurations watch.Source[catalogue.Configuration]
 	ZonesOut       watch.Source[ident.ZoneID]
@@ -66,6 +69,9 @@
 func (noClaims) Close() error { return nil }
 
 func (v *VM) startDiscovery(ctx context.Context, self roster.Member) error {
+	if err := v.startMirrors(ctx, &self); err != nil {
+		return err
+	}
 	d, m := v.discovery, v.settings.Message.Discovery
 	front, err := net.Listen("tcp", m.Front)
 	if err != nil {
@@ -78,9 +84,12 @@
 	}
 	v.serve(ctx, front, d.Front(v.lane, v.board, v.door.Leaving))
 	v.serve(ctx, ready, d.Ready(v.door.Ready))
-	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, d.Replicas, v.replicaTaker()) })
-	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, d.Configurations, v.configurationTaker()) })
-	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, d.ZonesOut, v.zoneTaker()) })
+	r := &v.mirrors.readers
+	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, r.replicas, v.replicaTaker()) })
+	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, r.configurations, v.configurationTaker()) })
+	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, r.zonesOut, v.zoneTaker()) })
+	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, r.presets, v.presetTaker()) })
+	v.group.Go(ctx, v.watcher.List)
 	v.group.Go(ctx, func(ctx context.Context) { v.enter(ctx, self) })
 	return nil
 }
@@ -91,6 +100,7 @@
 	for ctx.Err() == nil {
 		err := v.discovery.Registry.Enter(ctx, platform.ListedVM{
 			Name: string(self.VM), Zone: string(self.Zone), Address: self.Address, Incarnation: uint64(self.Incarnation),
+			Certificate: v.mirrors.identity.Digest(),
 		})
 		if err == nil {
 			return
@@ -187,6 +197,31 @@
 	}
 }
 
+func (v *VM) presetTaker() watch.Taker[[]byte] {
+	d := &dependency{vm: v, kind: v.discovery.Presets.Kind()}
+	take := func(ctx context.Context, changes []platform.Change[[]byte]) {
+		d.heard()
+		for _, c := range changes {
+			if c.Deleted {
+				continue
+			}
+			held, err := codec.UnmarshalConfiguration(c.Value)
+			if err != nil {
+				v.log.Error().Err(err).Msg("presets-not-read")
+				continue
+			}
+			v.tell(ctx, func(now ident.Instant, core *control.Core) { core.Platform(now, held) })
+		}
+	}
+	return watch.Taker[[]byte]{
+		Listed: take, Changed: take,
+		Failed: func(ctx context.Context, _ string, err error) {
+			d.failed(err)
+			v.tell(ctx, func(now ident.Instant, core *control.Core) { core.PlatformFailed(now, err.Error()) })
+		},
+	}
+}
+
 func (v *VM) zoneTaker() watch.Taker[ident.ZoneID] {
 	d := &dependency{vm: v, kind: v.discovery.ZonesOut.Kind()}
 	out := map[ident.ZoneID]bool{}
--- a/vm/loop.go
+++ b/vm/loop.go
@@ -241,6 +241,8 @@
 type listener struct {
 	ctx  context.Context
 	loop *loop
+	// Mirrors takes the list of VMs too.
+	mirrors func([]platform.ListedVM)
 }
 
 func (l listener) Platform(c config.Configuration) {
@@ -253,6 +255,7 @@
 }
 
 func (l listener) Listed(vms []platform.ListedVM) {
+	l.mirrors(vms)
 	list := make([]control.Listed, len(vms))
 	for i, vm := range vms {
 		list[i] = control.Listed{
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -93,8 +93,9 @@
 	operator net.Listener
 	group    *task.Group
 	cancel   context.CancelFunc
-	// Discovery is nil where the settings hold the catalogue.
+	// Discovery and mirrors are nil where the settings hold the catalogue.
 	discovery *Discovery
+	mirrors   *mirrors
 }
 
 // noPeers is the sender of a VM without peers.
@@ -219,14 +220,16 @@
 
 func (v *VM) startControl(ctx context.Context, first config.Configuration) {
 	v.watcher = &watch.Watcher{
-		Store: v.store, Deployment: v.deployment(), Listener: listener{ctx, v.control},
+		Store: v.store, Deployment: v.deployment(), Listener: listener{ctx, v.control, v.listedMirrors},
 		First: first, Turn: v.control.turn,
 	}
 	if v.discovery != nil {
 		v.watcher.ListEvery = listVMsEvery
 	}
 	v.group.Go(ctx, v.control.run)
-	v.group.Go(ctx, v.watcher.Run)
+	if v.discovery == nil {
+		v.group.Go(ctx, v.watcher.Run)
+	}
 	v.group.Go(ctx, v.repair)
 }
 
@@ -337,12 +340,15 @@
 
 // Call answers a booking that a peer forwarded to the VM of its ticket.
 func (h handler) Call(ctx context.Context, from ident.VMID, body []byte) []byte {
-	var m schema.BookingRequest
-	if err := proto.Unmarshal(body, &m); err != nil {
+	var m schema.PeerCall
+	if err := proto.Unmarshal(body, &m); err != nil || (m.Booking == nil && m.Mirror == nil) {
 		h.vm.log.Warn().Str("from", string(from)).Msg("peer-call-refused")
 		return nil
 	}
-	arrival := codec.Booking(&m)
+	if m.Mirror != nil {
+		return h.vm.answerMirror(ctx, m.Mirror)
+	}
+	arrival := codec.Booking(m.Booking)
 	arrival.Relayed = true
 	answer := h.vm.lane.Ask(ctx, arrival)
 	if answer == nil {
@@ -363,7 +369,7 @@
 	if !ok || f.vm.peers == nil {
 		return nil
 	}
-	body, err := proto.Marshal(codec.BookingMessage(&a))
+	body, err := proto.Marshal(&schema.PeerCall{Booking: codec.BookingMessage(&a)})
 	if err != nil {
 		return nil
 	}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{}, 2)
 	go func() { w.follow(ctx); ended <- struct{}{} }()
-	go func() { w.list(ctx); ended <- struct{}{} }()
+	go func() { w.List(ctx); ended <- struct{}{} }()
 	return func() {
 		cancel()
 		<-ended
@@ -132,8 +132,8 @@
 	return err
 }
 
-// list reads the list of VMs.
-func (w *Watcher) list(ctx context.Context) {
+// List reads the list of VMs until the context is done.
+func (w *Watcher) List(ctx context.Context) {
 	var backoff platform.Backoff
 	for n := 0; ctx.Err() == nil; n++ {
 		vms, err := w.Store.VMs(ctx)
