Changes of replicas keep their order

Cause: after the store was away, one batch tells that every entry lapsed and that each is back; the batch was split into entries and ends, so that each end came last, was held as absent and dropped 2.5 s later. Ruled out: unreadable entries (none were logged), a loss of the VM itself. TestEndedAndBackInOneBatch failed first.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -30,6 +30,12 @@
 	ColdUntil ident.Instant
 }
 
+// A Change is one change of a replica's entry; with Ended set only the ID counts.
+type Change struct {
+	Replica
+	Ended bool
+}
+
 // A Service is what the replicas of a service have in common.
 type Service struct {
 	ID ident.ServiceID
@@ -115,9 +121,20 @@
 	}
 }
 
-// Put takes one replica's entry.
-func (b *Book) Put(now ident.Instant, r Replica) {
+// Apply takes changes in the order in which they were made: an entry that ended
+// may come back later in the same batch.
+func (b *Book) Apply(now ident.Instant, changes []Change) {
 	b.back(now)
+	for i := range changes {
+		if changes[i].Ended {
+			b.remove(now, changes[i].ID)
+		} else {
+			b.put(changes[i].Replica)
+		}
+	}
+}
+
+func (b *Book) put(r Replica) {
 	if b.replicas == nil {
 		b.replicas = map[ident.ReplicaID]Replica{}
 	}
@@ -125,9 +142,7 @@
 	delete(b.absent, r.ID)
 }
 
-// Remove takes the end of a replica's entry.
-func (b *Book) Remove(now ident.Instant, id ident.ReplicaID) {
-	b.back(now)
+func (b *Book) remove(now ident.Instant, id ident.ReplicaID) {
 	r, ok := b.replicas[id]
 	switch {
 	case !ok:
@@ -138,9 +153,6 @@
 	}
 }
 
-// Unchanged takes the word that nothing changed.
-func (b *Book) Unchanged(now ident.Instant) { b.back(now) }
-
 func (b *Book) hold(id ident.ReplicaID, r Replica) {
 	if r.Leaving {
 		return
--- a/catalogue/catalogue_test.go
+++ b/catalogue/catalogue_test.go
@@ -28,6 +28,26 @@
 	return catalogue.Replica{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 4}
 }
 
+func ended(b *catalogue.Book, now ident.Instant, id ident.ReplicaID) {
+	b.Apply(now, []catalogue.Change{{Replica: catalogue.Replica{ID: id}, Ended: true}})
+}
+
+// TestEndedAndBackInOneBatch: after an outage the store tells in one batch that
+// every entry lapsed and that each is back; none of them is lost.
+func TestEndedAndBackInOneBatch(t *testing.T) {
+	var b catalogue.Book
+	b.List(start, []catalogue.Replica{one("a"), one("b")})
+	b.Away()
+	now := start.Add(5 * time.Second)
+	b.Apply(now, []catalogue.Change{
+		{Replica: one("a"), Ended: true}, {Replica: one("b"), Ended: true}, {Replica: one("a")}, {Replica: one("b")},
+	})
+	b.Expire(now.Add(time.Minute))
+	if got := replicas(&b); len(got) != 2 {
+		t.Fatalf("%v are left", got)
+	}
+}
+
 // TestLapsedWhileTheStoreWasAway: an entry that lapsed during an outage is kept
 // until two and a half seconds after the return, and dropped if still missing.
 func TestLapsedWhileTheStoreWasAway(t *testing.T) {
@@ -39,7 +59,7 @@
 		if listed {
 			b.List(now, []catalogue.Replica{one("a")})
 		} else {
-			b.Remove(now, "b")
+			ended(&b, now, "b")
 		}
 		if got := replicas(&b); len(got) != 2 {
 			t.Fatalf("listed %v: %v right after the return", listed, got)
@@ -56,7 +76,7 @@
 	b.List(start, []catalogue.Replica{one("a")})
 	b.Away()
 	b.List(start.Add(time.Second), nil)
-	b.Put(start.Add(2*time.Second), one("a"))
+	b.Apply(start.Add(2*time.Second), []catalogue.Change{{Replica: one("a")}})
 	b.Expire(start.Add(time.Minute))
 	if len(replicas(&b)) != 1 {
 		t.Fatal("the entry that came back was dropped")
@@ -66,7 +86,7 @@
 func TestRemovedWhileTheStoreServesIsGoneAtOnce(t *testing.T) {
 	var b catalogue.Book
 	b.List(start, []catalogue.Replica{one("a"), one("b")})
-	b.Remove(start.Add(time.Second), "a")
+	ended(&b, start.Add(time.Second), "a")
 	b.List(start.Add(2*time.Second), nil)
 	if got := replicas(&b); len(got) != 0 {
 		t.Fatalf("%v are still there", got)
@@ -81,7 +101,7 @@
 	r.Leaving = true
 	b.List(start, []catalogue.Replica{r})
 	b.Away()
-	b.Remove(start.Add(time.Second), "a")
+	ended(&b, start.Add(time.Second), "a")
 	if len(replicas(&b)) != 0 {
 		t.Fatal("a leaving replica was held")
 	}
--- a/control/discovery.go
+++ b/control/discovery.go
@@ -21,16 +21,10 @@
 	c.settle(now)
 }
 
-// ReplicasChanged takes the entries that changed and those that ended.
-func (c *Core) ReplicasChanged(now ident.Instant, put []catalogue.Replica, ended []ident.ReplicaID) {
-	c.book.Unchanged(now)
-	for _, r := range put {
-		c.book.Put(now, r)
-	}
-	for _, id := range ended {
-		c.book.Remove(now, id)
-	}
-	c.changed = c.changed || len(put)+len(ended) > 0
+// ReplicasChanged takes changes of entries in their order.
+func (c *Core) ReplicasChanged(now ident.Instant, changes []catalogue.Change) {
+	c.book.Apply(now, changes)
+	c.changed = c.changed || len(changes) > 0
 	c.settle(now)
 }
 
--- a/vm/discovery.go
+++ b/vm/discovery.go
@@ -160,18 +160,15 @@
 		},
 		Changed: func(ctx context.Context, changes []platform.Change[catalogue.Replica]) {
 			d.heard()
-			var put []catalogue.Replica
-			var ended []ident.ReplicaID
+			told := make([]catalogue.Change, 0, len(changes))
 			for _, c := range changes {
-				if c.Deleted {
-					ended = append(ended, ident.ReplicaID(c.Name))
-				} else {
-					put = append(put, c.Value)
-				}
+				one := catalogue.Change{Replica: c.Value, Ended: c.Deleted}
+				one.ID = ident.ReplicaID(c.Name)
+				told = append(told, one)
 				v.log.Info().Str("replica", c.Name).Str("service", string(c.Value.Service)).Bool("leaving", c.Value.Leaving).
 					Bool("gone", c.Deleted).Msg("replica-changed")
 			}
-			v.tell(ctx, func(now ident.Instant, core *control.Core) { core.ReplicasChanged(now, put, ended) })
+			v.tell(ctx, func(now ident.Instant, core *control.Core) { core.ReplicasChanged(now, told) })
 		},
 		Failed: func(ctx context.Context, _ string, err error) {
 			d.failed(err)
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -96,6 +96,8 @@
 	// Discovery and mirrors are nil where the settings hold the catalogue.
 	discovery *Discovery
 	mirrors   *mirrors
+	// Answered counts whole answers; it belongs to the lane's goroutine.
+	answered int
 }
 
 // noPeers is the sender of a VM without peers.
@@ -214,7 +216,7 @@
 	v.lane = traffic.New(traffic.Config{
 		Core:  node.New(node.Config{VM: vm, Incarnation: incarnation, Random: newRandom(), Policies: p}),
 		Clock: v.clock, Board: v.board, Upstream: v.upstream, Claimer: v.claimer, Forwarder: forwarder{v},
-		Reports: v.control.reports, Observe: v.gauges.Observe,
+		Reports: v.control.reports, Observe: v.observe,
 	})
 }
 
