A replica is ejected only while another has a place for this VM

Cause: when a replica restarts, the VM of the last rank has no place in its ramp for a while; it counted as usable, so that the one other replica with places could be ejected for being slow, and all eight callers of a VM waited until their deadlines (reason overload, traced under the race detector). Change: MayEject counts replicas with a place. TestEjectionLeavesARoomyReplica failed first.

--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -208,3 +208,27 @@
 		t.Fatal("chose a replica without the snapshot")
 	}
 }
+
+// TestEjectionLeavesARoomyReplica: a replica is not ejected while each of the
+// others is lost, or in a ramp in which this VM has no place yet. Pattern: one
+// replica restarts while load makes the others slow; all callers of a VM then
+// waited for a place until their deadlines.
+func TestEjectionLeavesARoomyReplica(t *testing.T) {
+	shares := replica.Shares{Slots: 4, Connections: 35, VMs: 3, Rank: 2, RampStep: 500 * time.Millisecond}
+	now := ident.Instant(time.Hour)
+	cold := &replica.State{ID: "a", Shares: shares}
+	cold.Restart(now)
+	lost := &replica.State{ID: "b", Shares: shares}
+	lost.Observe(now, replica.Sample{Outcome: replica.Unsent})
+	warm := &replica.State{ID: "c", Shares: shares}
+	sh := &replica.Shard{Replicas: []*replica.State{cold, lost, warm}}
+	if cold.Limit(now) != 0 {
+		t.Fatal("the VM of the last rank has a place at once")
+	}
+	if sh.MayEject(now, warm) {
+		t.Fatal("the only replica with a place may be ejected")
+	}
+	if later := now.Add(2 * time.Second); !sh.MayEject(later, warm) {
+		t.Fatal("a slow replica may not be ejected although another has a place")
+	}
+}
--- a/replica/shard.go
+++ b/replica/shard.go
@@ -21,14 +21,14 @@
 const leastEnded = 10
 
 // MayEject reports whether the shard can do without r: at least one other
-// replica stays usable and at most half of all are ejected.
+// replica has a place for this VM now, and at most half of all are ejected.
 func (s *Shard) MayEject(now ident.Instant, r *State) bool {
 	ejected, others := 1, 0
 	for _, o := range s.Replicas {
 		if o == r {
 			continue
 		}
-		if o.Usable(now) {
+		if o.Capacity(now) > 0 {
 			others++
 		}
 		if o.condition == Ejected {
