--- a/cmd/carawaycross/entry.go
+++ b/cmd/carawaycross/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,12 +12,14 @@
 
 	"carawaycross.example/carawaycross"
 	"carawaycross.example/carawaycross/eventlog"
+	"carawaycross.example/carawaycross/node"
 	"carawaycross.example/carawaycross/platform"
 )
 
 type entryCommand struct {
 	settings string
 	level    string
+	policies string
 }
 
 func (c *entryCommand) bind() *flaggy.Subcommand {
@@ -24,6 +27,8 @@
 		platform.BootVariable+"=/etc/carawaycross/settings.conf carawaycross entry")
 	c.level = "info"
 	s.String(&c.settings, "s", "settings", "The platform's settings file; without it, the one that "+platform.BootVariable+" names.")
+	c.policies = "product"
+	s.String(&c.policies, "p", "policies", "product, or plain to compare with: least in flight, no hedges.")
 	s.String(&c.level, "l", "log-level", "One of debug, info, warn, error.")
 	return s
 }
@@ -46,7 +51,15 @@
 		return err
 	}
 	log.Info().Strs("fields", boot.Unknown).Msg("settings-ignored")
-	v, err := carawaycross.Enter(boot, carawaycross.WithLog(log))
+	options := []carawaycross.Option{carawaycross.WithLog(log)}
+	switch c.policies {
+	case "product":
+	case "plain":
+		options = append(options, carawaycross.WithPolicies(node.Plain()))
+	default:
+		return usage(fmt.Errorf("--policies: found %q, allowed: product, plain", c.policies))
+	}
+	v, err := carawaycross.Enter(boot, options...)
 	if err != nil {
 		log.Error().Err(err).Msg("vm-not-started")
 		return err
--- /dev/null
+++ b/cmd/carawaycross/explain.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"carawaycross.example/carawaycross/eventlog"
+)
+
+type explainCommand struct {
+	request string
+	logs    []string
+}
+
+func (c *explainCommand) bind() *flaggy.Subcommand {
+	s := newSubcommand("explain", "Tell the story of a request from logs.", "carawaycross explain 9c41d07be2a35f68 --log entry-0.log --log entry-1.log")
+	s.AddPositionalValue(&c.request, "request", 1, true, "The client's id of the request.")
+	s.StringSlice(&c.logs, "", "log", "A log; standard input without any.")
+	return s
+}
+
+func (c *explainCommand) run(context.Context) error {
+	var lines []eventlog.Line
+	if len(c.logs) == 0 {
+		more, err := eventlog.Read("log", os.Stdin)
+		if err != nil {
+			return err
+		}
+		lines = more
+	}
+	for _, path := range c.logs {
+		f, err := os.Open(path)
+		if err != nil {
+			return usage(err)
+		}
+		more, err := eventlog.Read(path, f)
+		if err == nil {
+			err = f.Close()
+		}
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	if !eventlog.Explain(os.Stdout, lines, c.request) {
+		return fmt.Errorf("no log tells of request %s: it never reached a VM, or its answer was whole, in time and not sampled", c.request)
+	}
+	return nil
+}
--- a/cmd/carawaycross/main.go
+++ b/cmd/carawaycross/main.go
@@ -27,7 +27,7 @@
 		&entryCommand{}, &serveCommand{}, &checkCommand{}, &demoCommand{}, &measureCommand{},
 		&searchCommand{}, &bookCommand{}, &statusCommand{},
 		&presetCommand{}, newOutCommand("zone"), newOutCommand("vm"),
-		&standinCommand{}, &soakCommand{}, &keysCommand{}, &versionCommand{},
+		&standinCommand{}, &soakCommand{}, &explainCommand{}, &keysCommand{}, &versionCommand{},
 	}
 }
 
--- /dev/null
+++ b/eventlog/eventlog_test.go
@@ -0,0 +1,136 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"carawaycross.example/carawaycross/eventlog"
+)
+
+// slowWriter takes a while for each line, as a full pipe does.
+type slowWriter struct {
+	mu    sync.Mutex
+	lines int
+	text  bytes.Buffer
+}
+
+func (w *slowWriter) Write(b []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lines++
+	return w.text.Write(b)
+}
+
+// TestFloodIsBoundedAndNeverBlocks. Pattern: every request fails at ten times the
+// usual load, and whoever reads the log is slow.
+func TestFloodIsBoundedAndNeverBlocks(t *testing.T) {
+	out := &slowWriter{}
+	log := eventlog.New(out)
+	logger := log.Logger(zerolog.InfoLevel)
+	const lines = 20_000
+	longest := time.Duration(0)
+	began := time.Now()
+	for i := range lines {
+		at := time.Now()
+		logger.Info().Int("n", i).Msg("request-refused")
+		longest = max(longest, time.Since(at))
+	}
+	took := time.Since(began)
+	log.Close()
+	seconds := int(took/time.Second) + 2
+	if out.lines > 400*seconds+10 {
+		t.Errorf("%d lines in %v", out.lines, took)
+	}
+	written := strings.Count(out.text.String(), "request-refused")
+	if got := int(log.Dropped()); got+written != lines {
+		t.Errorf("%d lines written and %d counted as dropped, of %d", written, got, lines)
+	}
+	if !strings.Contains(out.text.String(), fmt.Sprintf(`"in-all":%d`, lines-written)) {
+		t.Error("the log does not tell how many lines were dropped")
+	}
+	if longest > 100*time.Millisecond {
+		t.Errorf("a line took %v", longest)
+	}
+}
+
+func TestExplain(t *testing.T) {
+	text := `   1.2 vm-a {"level":"info","kind":"servers","time":"2026-01-01T10:00:01.000Z","message":"dependency-lost"}
+noise
+   1.3 vm-b {"level":"info","kind":"servers","time":"2026-01-01T10:00:01.100Z","message":"dependency-regained"}
+   1.4 vm-a {"level":"info","request":"7f","reason":"no-upstream","time":"2026-01-01T10:00:01.200Z","message":"request-refused"}
+`
+	lines, err := eventlog.Read("log", strings.NewReader(text))
+	if err != nil || len(lines) != 3 {
+		t.Fatalf("%d lines (%v)", len(lines), err)
+	}
+	var out bytes.Buffer
+	if !eventlog.Explain(&out, lines, "7f") {
+		t.Fatal("the request was not found")
+	}
+	for _, want := range []string{"at vm-a", "dependency-lost  kind=servers", "request-refused  reason=no-upstream"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in:\n%s", want, out.String())
+		}
+	}
+	if strings.Contains(out.String(), "regained") {
+		t.Error("another VM's event is shown")
+	}
+	if eventlog.Explain(&out, lines, "80") {
+		t.Error("an unknown request was explained")
+	}
+}
+
+var (
+	logged     = regexp.MustCompile(`(?:Msg\(|\\"message\\":\\)"([a-z][a-z-]+)`)
+	documented = regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\|")
+)
+
+// TestEventsAreDocumented: docs/OPERATIONS.md lists each event that the code
+// logs, and no other.
+func TestEventsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, table, _ := strings.Cut(string(page), "## Events")
+	table, _, _ = strings.Cut(table, "\n## ")
+	var listed []string
+	for _, m := range documented.FindAllStringSubmatch(table, -1) {
+		listed = append(listed, m[1])
+	}
+	used := map[string]string{}
+	err = filepath.Walk("..", func(path string, info os.FileInfo, err error) error {
+		if err != nil || info.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		code, err := os.ReadFile(path)
+		for _, m := range logged.FindAllStringSubmatch(string(code), -1) {
+			used[m[1]] = path
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, path := range used {
+		if !slices.Contains(listed, name) {
+			t.Errorf("%s logs %q, which is not listed", path, name)
+		}
+	}
+	for _, name := range listed {
+		if used[name] == "" {
+			t.Errorf("%q is listed, and nothing logs it", name)
+		}
+	}
+}
--- a/node/action.go
+++ b/node/action.go
@@ -9,6 +9,7 @@
 	"carawaycross.example/carawaycross/ident"
 	"carawaycross.example/carawaycross/passage"
 	"carawaycross.example/carawaycross/poison"
+	"carawaycross.example/carawaycross/replica"
 )
 
 // A Kind tells which fields of an Action are set.
@@ -107,6 +108,19 @@
 	// Failure is a replica's own reply that is passed on although it is no
 	// success; it is set together with a Refusal.
 	Failure *passage.Reply
+	// Trail lists the attempts on a route that gave no result, as far as the
+	// query waited for them.
+	Trail []Step
+}
+
+// A Step is an attempt that gave no result.
+type Step struct {
+	Service ident.ServiceID
+	Replica ident.ReplicaID
+	// Outcome is Aborted for an attempt that was still in flight.
+	Outcome replica.Outcome
+	// After is when it was sent, from the arrival of the query.
+	After, Took time.Duration
 }
 
 // A Refusal is an answer without results.
--- a/node/passing.go
+++ b/node/passing.go
@@ -199,9 +199,24 @@
 	return q.coveredCount+q.unsettled < q.needed()
 }
 
+// mostSteps bounds the trail of a query.
+const mostSteps = 32
+
+// step notes an attempt that gave no result.
+func (q *query) step(now ident.Instant, a *attempt, o replica.Outcome) {
+	if len(q.trail) < mostSteps {
+		q.trail = append(q.trail, Step{
+			Service: a.svc.id, Replica: a.replica.ID, Outcome: o, After: a.sent.Sub(q.started), Took: now.Sub(a.sent),
+		})
+	}
+}
+
 // passed decides what follows from the end of an attempt on a route.
 func (c *Core) passed(now ident.Instant, q *query, a *attempt, reply *Reply) {
 	p := &q.parts[a.part]
+	if reply.Outcome != replica.OK {
+		q.step(now, a, reply.Outcome)
+	}
 	switch reply.Outcome {
 	case replica.OK:
 		p.result, p.by, p.message = reply.Result, a.replica.ID, reply.Message
@@ -250,11 +265,15 @@
 		p := &q.parts[i]
 		if p.state != covered {
 			a.Coverage.Missing = append(a.Coverage.Missing, coverage.Missing{Shard: ident.ShardID(i), Reason: p.whyMissing()})
+			for _, h := range p.live[:p.liveCount] {
+				q.step(now, c.attempts.Get(h), replica.Aborted)
+			}
 			continue
 		}
 		a.Parts = append(a.Parts, Part{Service: p.svc.id, Replica: p.by, Result: p.result, Message: p.message})
 		a.Coverage.Covered = append(a.Coverage.Covered, ident.ShardID(i))
 	}
+	a.Trail = q.trail
 	if q.coveredCount == 0 || !q.covers(q.least) {
 		c.refuseFinished(now, q, a)
 	}
--- a/node/policies.go
+++ b/node/policies.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// Plain returns the policies that measurements of passing requests compare with:
+// the replica with the least in flight, no hedge, and no memory of how replicas
+// answered.
+func Plain() Policies {
+	p := Passing()
+	p.Choice = replica.LeastInFlight{}
+	p.HedgeDelay = policy.Func[HedgeQuestion, time.Duration](func(HedgeQuestion) time.Duration { return 0 })
+	p.Linger = policy.Func[LingerQuestion, time.Duration](cancelAtOnce)
+	return p
+}
+
 // Passing returns the policies for requests that pass through whole to replicas
 // that pause, slow down and lose answers, but bear load.
 func Passing() Policies {
--- a/node/query.go
+++ b/node/query.go
@@ -103,6 +103,8 @@
 	late bool
 	// Gone is true once the caller went away.
 	gone bool
+	// Trail has at most mostSteps entries.
+	trail []Step
 	// Failure is the last reply of a replica that ran the request and failed.
 	failure *passage.Reply
 	// Pinned is the one snapshot of all parts; it changes only in restart.
@@ -140,6 +142,7 @@
 func (q *query) reset() {
 	parts, joined := q.parts[:0], q.joined[:0]
 	clear(q.parts)
+	// The trail went with the answer.
 	*q = query{parts: parts, joined: joined, canary: -1}
 }
 
--- a/replica/choice.go
+++ b/replica/choice.go
@@ -133,3 +133,26 @@
 	}
 	return chosen
 }
+
+// LeastInFlight picks the eligible replica with the fewest attempts of this VM in
+// flight; it is a baseline.
+type LeastInFlight struct{}
+
+// Decide picks the least loaded replica; equal ones by chance.
+func (LeastInFlight) Decide(in *Selection) *State {
+	var best *State
+	ties := 0
+	for _, r := range in.Shard.Replicas {
+		switch {
+		case !in.Eligible(r):
+		case best == nil || r.InFlight < best.InFlight:
+			best, ties = r, 1
+		case r.InFlight == best.InFlight:
+			ties++
+			if in.Random.IntN(ties) == 0 {
+				best = r
+			}
+		}
+	}
+	return best
+}
--- a/vm/events.go
+++ b/vm/events.go
@@ -1,6 +1,8 @@
 package vm
 
 import (
+	"fmt"
+
 	"carawaycross.example/carawaycross/coverage"
 	"carawaycross.example/carawaycross/node"
 )
@@ -29,6 +31,9 @@
 	if len(answer.Coverage.Missing) > 0 {
 		e = e.Interface("why-missing", reasons(answer.Coverage.Missing))
 	}
+	if len(answer.Trail) > 0 {
+		e = e.Strs("trail", trail(answer.Trail))
+	}
 	switch r := answer.Refusal; {
 	case r != nil:
 		e.Str("outcome", string(r.Outcome)).Str("reason", string(r.Reason)).Str("detail", r.Detail).
@@ -42,6 +47,16 @@
 	}
 }
 
+// trail writes each attempt as SERVICE REPLICA OUTCOME AFTER+TOOK, in
+// milliseconds from the arrival of the request.
+func trail(steps []node.Step) []string {
+	out := make([]string, len(steps))
+	for i, s := range steps {
+		out[i] = fmt.Sprintf("%s %s %v %d+%d", s.Service, s.Replica, s.Outcome, s.After.Milliseconds(), s.Took.Milliseconds())
+	}
+	return out
+}
+
 // reasons counts why shards are missing.
 func reasons(missing []coverage.Missing) map[coverage.Reason]int {
 	out := map[coverage.Reason]int{}
