A few places at each replica, whatever a VM's share of the slots

Ruled out: the quota (attempts were left), the choice (the good replicas were full at one attempt each). Change: discovered replicas have at least three places for each VM; they queue a few requests themselves. TestRandomRefusalsLeavePlaces.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -200,6 +200,10 @@
 // unknownConnections is assumed of a service that the configuration lacks.
 const unknownConnections = 16
 
+// leastPlaces lets a VM have a few requests at a replica whatever its share of the
+// slots: replicas queue a few, and one that refuses at random is not overloaded.
+const leastPlaces = 3
+
 // rampStep ends the ramp of a replica after a loss at once: what it bears while
 // cold is metered by its own rate.
 const rampStep = time.Millisecond
@@ -213,6 +217,7 @@
 		at[s.ID] = len(v.Services)
 		v.Services = append(v.Services, view.Service{
 			ID: s.ID, Connections: s.Connections, Terms: terms, RampStep: rampStep, ColdRate: s.ColdRate,
+			LeastPlaces: leastPlaces,
 		})
 	}
 	for _, id := range slices.Sorted(maps.Keys(b.replicas)) {
@@ -222,7 +227,7 @@
 			i = len(v.Services)
 			at[r.Service] = i
 			v.Services = append(v.Services, view.Service{
-				ID: r.Service, Connections: unknownConnections, Terms: terms, RampStep: rampStep,
+				ID: r.Service, Connections: unknownConnections, Terms: terms, RampStep: rampStep, LeastPlaces: leastPlaces,
 			})
 		}
 		s := &v.Services[i]
--- a/node/service.go
+++ b/node/service.go
@@ -106,6 +106,7 @@
 	r.Shares = replica.Shares{
 		Slots: vs.Slots, Connections: vs.Connections,
 		VMs: v.VMs, Rank: vr.Rank, RampStep: v.Preset.RampStep, ColdRate: vs.ColdRate,
+		Least: vs.LeastPlaces,
 	}
 	if vr.Slots > 0 {
 		r.Shares.Slots = vr.Slots
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -232,3 +232,22 @@
 		t.Fatal("a slow replica may not be ejected although another has a place")
 	}
 }
+
+// TestRandomRefusalsLeavePlaces: a replica that refuses requests at random, with
+// slots free, keeps the least number of places of this VM. Pattern: grey replicas
+// that shed; with one place each, searches waited in the VM until they were late.
+func TestRandomRefusalsLeavePlaces(t *testing.T) {
+	now := ident.Instant(time.Hour)
+	r := &replica.State{ID: "a", Shares: replica.Shares{
+		Slots: 4, Connections: 35, VMs: 5, Rank: 4, RampStep: time.Millisecond, Least: 3,
+	}}
+	if got := r.Limit(now); got != 3 {
+		t.Fatalf("the first limit is %d, expected 3", got)
+	}
+	for range 50 {
+		r.Observe(now, replica.Sample{Outcome: replica.Shed})
+	}
+	if got := r.Limit(now); got != 3 {
+		t.Fatalf("%d places are left after refusals, expected 3", got)
+	}
+}
