--- a/node/passing_test.go
+++ b/node/passing_test.go
@@ -37,17 +37,18 @@
 	}
 }
 
-func (m *model) urgent(perS float64) *kindOfRequest {
+// urgent and sweep are the searches of one of four VMs.
+func (m *model) urgent() *kindOfRequest {
 	return &kindOfRequest{
 		route: m.gather("urgent", 60*time.Millisecond, 600*time.Millisecond, 0.75, 2),
-		perS:  perS, work: 7 * time.Millisecond, within: 600 * time.Millisecond,
+		perS:  11, work: 7 * time.Millisecond, within: 600 * time.Millisecond,
 	}
 }
 
-func (m *model) sweep(perS float64) *kindOfRequest {
+func (m *model) sweep() *kindOfRequest {
 	return &kindOfRequest{
 		route: m.gather("sweep", 150*time.Millisecond, 1500*time.Millisecond, 0.89, 1),
-		perS:  perS, work: 20 * time.Millisecond, within: 1500 * time.Millisecond,
+		perS:  34, work: 20 * time.Millisecond, within: 1500 * time.Millisecond,
 	}
 }
 
@@ -66,7 +67,7 @@
 	served := func(p node.Policies) float64 {
 		m := newModel(1, p, 10, 3, 4)
 		m.pauses(4500*time.Millisecond, 200*time.Millisecond)
-		m.calm(m.urgent(11), m.sweep(34))
+		m.calm(m.urgent(), m.sweep())
 		m.check(t)
 		m.checkQuota(t)
 		return m.outcomes["urgent"].served()
@@ -94,7 +95,7 @@
 			r.slow = 8
 		}
 	}
-	m.calm(m.urgent(11), m.sweep(34))
+	m.calm(m.urgent(), m.sweep())
 	m.check(t)
 	m.checkQuota(t)
 	for name, o := range m.outcomes {
@@ -111,7 +112,7 @@
 	for _, r := range m.services["s4"] {
 		r.dark = true
 	}
-	m.calm(m.urgent(11), m.sweep(34))
+	m.calm(m.urgent(), m.sweep())
 	m.check(t)
 	m.checkQuota(t)
 	// One shard of ten is missing from each answer.
@@ -198,7 +199,7 @@
 			r.shedShare = 0.6
 		}
 	}
-	m.calm(m.urgent(11), m.sweep(34))
+	m.calm(m.urgent(), m.sweep())
 	m.check(t)
 	m.checkQuota(t)
 	for name, o := range m.outcomes {
--- a/replica/pace.go
+++ b/replica/pace.go
@@ -17,6 +17,9 @@
 	// paceMemory is the time constant by which evidence without new replies
 	// fades: a replica that was slow is then tried again.
 	paceMemory = 2 * time.Second
+	// failingMemory is the same for failures: they come and go more slowly than
+	// pauses, and some cost an answer.
+	failingMemory = 5 * time.Second
 	// mostFailing keeps the score of a replica that always fails finite.
 	mostFailing = 0.95
 )
@@ -31,17 +34,18 @@
 	at      ident.Instant
 }
 
-// fade returns the weight of old evidence at now.
-func (p *pace) fade(now ident.Instant) float64 {
+// left returns what is left of the evidence at now.
+func (p *pace) left(now ident.Instant) (slow, failing float64) {
 	if now <= p.at {
-		return 1
+		return p.slow, p.failing
 	}
-	return math.Exp(-float64(now.Sub(p.at)) / float64(paceMemory))
+	age := float64(now.Sub(p.at))
+	return p.slow * math.Exp(-age/float64(paceMemory)), p.failing * math.Exp(-age/float64(failingMemory))
 }
 
 func (p *pace) add(now ident.Instant, slow, failing float64) {
-	f := p.fade(now)
-	p.slow, p.failing, p.at = p.slow*f, p.failing*f, max(now, p.at)
+	p.slow, p.failing = p.left(now)
+	p.at = max(now, p.at)
 	p.slow += paceWeight * (slow - p.slow)
 	p.failing += paceWeight * (failing - p.failing)
 }
@@ -57,7 +61,8 @@
 // Rate takes the end of an attempt.
 func (s *State) Rate(now ident.Instant, r Rating) {
 	now = max(now, s.pace.at)
-	slow := s.pace.slow * s.pace.fade(now)
+	oldSlow, oldFailing := s.pace.left(now)
+	slow := oldSlow
 	if r.Typical > 0 {
 		slow = min(max(float64(r.Took)/float64(r.Typical), leastPace), mostPace) - 1
 	}
@@ -66,11 +71,11 @@
 		s.pace.add(now, slow, 0)
 	case Aborted:
 		// The latency is not known, only that it was longer.
-		if slow > s.pace.slow*s.pace.fade(now) {
-			s.pace.add(now, slow, s.pace.failing*s.pace.fade(now))
+		if slow > oldSlow {
+			s.pace.add(now, slow, oldFailing)
 		}
 	case Shed, Failed, Broken, Unsent, Misdirected:
-		s.pace.add(now, s.pace.slow*s.pace.fade(now), 1)
+		s.pace.add(now, oldSlow, 1)
 	case RefusedCold, Draining, Gone:
 	}
 }
--- a/replica/soonest.go
+++ b/replica/soonest.go
@@ -49,14 +49,14 @@
 	if typical == 0 {
 		typical = unknownTypical
 	}
-	fade := s.pace.fade(in.Now)
+	slow, failing := s.pace.left(in.Now)
+	failing = min(failing, mostFailing)
 	load := 1 + float64(s.InFlight)/float64(max(s.Shares.Slots, 1))
-	t := float64(typical) * max(1+s.pace.slow*fade, leastPace) * load
+	t := float64(typical) * max(1+slow, leastPace) * load
 	t += stuckWeight * float64(s.Stuck(in.Now, typical))
 	if !s.Local {
 		t += float64(crossZoneDelay) + remotePart*float64(typical)
 	}
-	failing := min(s.pace.failing*fade, mostFailing)
 	if in.Once {
 		t += failing * onceFailureCost * float64(typical)
 	}
