--- /dev/null
+++ b/control/discovery_test.go
@@ -0,0 +1,93 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"carawaycross.example/carawaycross/catalogue"
+	"carawaycross.example/carawaycross/config"
+	"carawaycross.example/carawaycross/control"
+	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/retry"
+	"carawaycross.example/carawaycross/roster"
+	"carawaycross.example/carawaycross/view"
+)
+
+func discovering(t *testing.T) (*control.Core, config.Configuration) {
+	t.Helper()
+	first, err := config.First(preset.Passing(), "ordinary")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return control.New(start, control.Config{
+		Self: roster.Member{VM: "entry-0", Zone: "baden", Incarnation: 1}, First: first, Discovers: true, Peerless: true,
+		Terms: retry.Terms{Ratio: 0.2, Allowance: 52, Span: 10 * time.Second},
+	}), first
+}
+
+const start = ident.Instant(time.Hour)
+
+func latestView(core *control.Core) *view.View {
+	var v *view.View
+	for _, a := range core.Drain(nil) {
+		if a.Kind == control.Publish {
+			v = a.View
+		}
+	}
+	return v
+}
+
+func TestReadyOnceRoutesAndReplicasAreKnown(t *testing.T) {
+	core, _ := discovering(t)
+	if v := latestView(core); v == nil || v.Ready {
+		t.Fatal("ready without routes")
+	}
+	core.Configured(start, catalogue.Configuration{Version: 3})
+	if latestView(core).Ready {
+		t.Fatal("ready without replicas")
+	}
+	core.ReplicasListed(start, nil)
+	v := latestView(core)
+	if !v.Ready || v.RoutesVersion != 3 {
+		t.Fatalf("ready: %v, version %d", v.Ready, v.RoutesVersion)
+	}
+}
+
+// TestZoneOutReachesDiscoveredReplicas: a zone or a replica that operators take
+// out through the product's own interface gets no work, as one that the
+// platform's operator takes out.
+func TestZoneOutReachesDiscoveredReplicas(t *testing.T) {
+	core, first := discovering(t)
+	core.Configured(start, catalogue.Configuration{Version: 3})
+	core.ReplicasListed(start, []catalogue.Replica{
+		{ID: "a", Service: "s", Zone: "baden", Slots: 4}, {ID: "b", Service: "s", Zone: "winterthur", Slots: 4},
+	})
+	next, err := first.Apply(config.Change{Kind: config.ZoneOut, Subject: "winterthur"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	core.Platform(start, next)
+	out := map[ident.ReplicaID]bool{}
+	for _, r := range latestView(core).Services[0].Replicas {
+		out[r.ID] = r.Out
+	}
+	if out["a"] || !out["b"] {
+		t.Fatalf("out: %v", out)
+	}
+}
+
+// TestVMsShareTheTerms: the number of VMs follows the platform's list.
+func TestVMsShareTheTerms(t *testing.T) {
+	core, _ := discovering(t)
+	core.Listed(start, []control.Listed{
+		{Name: "entry-0", Zone: "baden"}, {Name: "entry-1", Zone: "baden"}, {Name: "entry-2", Zone: "baden", Leaving: true},
+	})
+	if v := latestView(core); v.VMs != 2 {
+		t.Fatalf("%d VMs share, expected 2", v.VMs)
+	}
+	core.Listed(start, []control.Listed{{Name: "entry-0", Zone: "baden"}})
+	if v := latestView(core); v.VMs != 1 {
+		t.Fatalf("%d VMs share, expected 1", v.VMs)
+	}
+}
--- a/control/view.go
+++ b/control/view.go
@@ -46,6 +46,7 @@
 	}
 	if c.config.Discovers {
 		c.book.View(v, c.config.Terms, c.rankOf)
+		c.takeOut(v.Services[len(c.config.Services):])
 	}
 	if c.rosterChanged {
 		c.rosterChanged = false
@@ -77,6 +78,16 @@
 	return senders
 }
 
+// takeOut marks the discovered replicas that operators keep out.
+func (c *Core) takeOut(services []view.Service) {
+	for i := range services {
+		for j := range services[i].Replicas {
+			r := &services[i].Replicas[j]
+			r.Out = r.Out || c.configuration.ZoneIsOut(r.Zone) || c.configuration.VMIsOut(string(r.ID))
+		}
+	}
+}
+
 // rankOf returns this VM's place in the order of a discovered replica.
 func (c *Core) rankOf(id ident.ReplicaID) int {
 	rank, ok := c.found[id]
