--- a/cmd/carawaycross/serve.go
+++ b/cmd/carawaycross/serve.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/integrii/flaggy"
 	"github.com/rs/zerolog"
 
 	"carawaycross.example/carawaycross"
 	"carawaycross.example/carawaycross/demo"
+	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/settings"
 )
 
@@ -51,17 +53,19 @@
 type checkCommand struct {
 	settings string
 	json     bool
+	platform bool
 }
 
 func (c *checkCommand) bind() *flaggy.Subcommand {
 	s := newSubcommand("check", "Check a settings file and start nothing.", "carawaycross check --settings examples/association.yaml")
 	s.String(&c.settings, "s", "settings", "The settings file to check.")
 	s.Bool(&c.json, "", "json", "Print the settings with their defaults as JSON.")
+	s.Bool(&c.platform, "", "platform", "The file is the users' platform's.")
 	return s
 }
 
 func (c *checkCommand) run(context.Context) error {
-	checked, err := load(c.settings)
+	checked, err := c.load()
 	if err != nil {
 		return err
 	}
@@ -78,6 +82,21 @@
 	return nil
 }
 
+// load reads the settings in either format.
+func (c *checkCommand) load() (*settings.Settings, error) {
+	if !c.platform {
+		return load(c.settings)
+	}
+	boot, err := platform.LoadBoot(c.settings)
+	if err != nil {
+		return nil, usage(err)
+	}
+	if len(boot.Unknown) > 0 {
+		fmt.Printf("ignored: %s\n", strings.Join(boot.Unknown, " "))
+	}
+	return boot.Settings, nil
+}
+
 type demoCommand struct{}
 
 func (c *demoCommand) bind() *flaggy.Subcommand {
