--- a/shape_test.go
+++ b/shape_test.go
@@ -102,3 +102,55 @@
 	}
 	return slices.Contains(allowedImports, name) || slices.Contains(extraImports[pkg], name)
 }
+
+// wireNames are names of the users' platform that stand in package platform only.
+var wireNames = []string{
+	"Carawaycross-", "weightedBackends", "warmupLeftMs", "warmupPerS", "minCoverage", "pathPrefix", "listenAddrs",
+	"storeRevision", "targetLatencyMs", "routeType", "maxConcurrency", "non_idempotent", "CARAWAYCROSS_BOOT",
+	"/api/", "allowStale", "healthPath", "topK",
+}
+
+func TestWireNamesStayInPlatform(t *testing.T) {
+	for _, fault := range wireFaults(t, ".") {
+		t.Error(fault)
+	}
+}
+
+// TestWireCheckFindsFaults proves that the check above can fail.
+func TestWireCheckFindsFaults(t *testing.T) {
+	folder := t.TempDir()
+	if err := os.WriteFile(filepath.Join(folder, "bad.go"), []byte("package bad\n\nconst h = \"Carawaycross-Request-Id\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got := len(wireFaults(t, folder)); got != 1 {
+		t.Fatalf("found %d faults, expected 1", got)
+	}
+}
+
+func wireFaults(t *testing.T, root string) []string {
+	t.Helper()
+	var out []string
+	err := filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && (path == "platform" || (strings.HasPrefix(d.Name(), ".") && path != ".")) {
+			return filepath.SkipDir
+		}
+		code := strings.HasSuffix(path, ".proto") || (strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go"))
+		if d.IsDir() || !code {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		for _, name := range wireNames {
+			if strings.Contains(string(text), name) {
+				out = append(out, path+" holds the wire name "+name)
+			}
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
