Places go to the parts that decide a search, and to searches that can be in time

Change: a waiting part goes behind all others when its search has enough parts come or on their way, or can no longer be in time.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -98,7 +98,7 @@
 func (c *Core) enqueue(now ident.Instant, q *query, i int) {
 	p := &q.parts[i]
 	p.state = waiting
-	evicted, full := p.shard.waiting.Push(q.rank, waiter{q.handle, i})
+	evicted, full := p.shard.waiting.Push(q.rank, waiter{query: q.handle, part: i})
 	c.wakeShard(now, p.svc, p.shard)
 	if !full {
 		return
@@ -129,7 +129,7 @@
 }
 
 // serveWaiting sends the attempts that wait for a place at the shard, while
-// there are places.
+// there are places. A part that can wait goes behind those that cannot.
 func (c *Core) serveWaiting(now ident.Instant, svc *service, sh *shard) {
 	for sh.waiting.Len() > 0 && sh.spare(now) {
 		w, _ := sh.waiting.Pop()
@@ -137,6 +137,12 @@
 		if q == nil || q.answered || w.part >= len(q.parts) || q.parts[w.part].state != waiting {
 			continue
 		}
+		if !w.deferred && c.canWait(now, q, &q.parts[w.part]) {
+			w.deferred = true
+			// There is room for what was just taken out.
+			sh.waiting.Push(len(q.preset.Classes), w)
+			continue
+		}
 		c.serve(now, q, w.part)
 	}
 	if sh.waiting.Len() > 0 {
--- a/node/passing.go
+++ b/node/passing.go
@@ -139,6 +139,27 @@
 	return hopeful < q.needed()
 }
 
+// canWait reports whether a part that waits for a place should leave it to
+// others: its search has enough parts without it, come or on their way, or can no
+// longer be in time. Without this, a shard that bears less than the load makes
+// every search late: each waits as long as the queue is.
+func (c *Core) canWait(now ident.Instant, q *query, p *part) bool {
+	if q.target == nil {
+		return false
+	}
+	goal := q.arrival.Route.Goal
+	if goal > 0 && now.Add(q.profile.latency.Median(now)) > q.started.Add(goal-answerTravel) {
+		return true
+	}
+	certain := 0
+	for i := range q.parts {
+		if other := &q.parts[i]; other != p && (other.state == covered || other.state == open) {
+			certain++
+		}
+	}
+	return certain >= q.needed()
+}
+
 // covers reports whether the parts that have come are the share of all.
 func (q *query) covers(share ident.Share) bool {
 	return float64(q.coveredCount) >= float64(share)*float64(len(q.parts))
--- a/node/passing_test.go
+++ b/node/passing_test.go
@@ -211,3 +211,27 @@
 		t.Errorf("%d of %d sweeps were in their goal", o.inGoal, o.asked)
 	}
 }
+
+// TestTwoShardsShortOfPlaces. Pattern: two shards in ten are left with one replica
+// each, which bears less than the load; a search may miss one shard. Places go to
+// the parts that decide whether a search is answered, and to searches that can
+// still be in time, instead of making every search late.
+func TestTwoShardsShortOfPlaces(t *testing.T) {
+	m := newModel(7, node.Passing(), 10, 3, 4)
+	for i := range m.view.Services {
+		if s := &m.view.Services[i]; s.ID == "s3" || s.ID == "s7" {
+			s.Replicas = s.Replicas[:1]
+		}
+	}
+	m.core.Install(m.now, m.view)
+	urgent, sweep := m.urgent(), m.sweep()
+	urgent.perS, sweep.perS = 66, 204
+	m.calm(urgent, sweep)
+	m.check(t)
+	for name, o := range m.outcomes {
+		t.Logf("%s: %d asked, %d in the goal, %d late, %d refused, %d failed", name, o.asked, o.inGoal, o.late, o.refused, o.failed)
+		if float64(o.inGoal) < 0.9*float64(o.asked) {
+			t.Errorf("%s: %d of %d in the goal", name, o.inGoal, o.asked)
+		}
+	}
+}
--- a/node/service.go
+++ b/node/service.go
@@ -13,6 +13,8 @@
 type waiter struct {
 	query container.Handle
 	part  int
+	// Deferred is true once the part went behind all others.
+	deferred bool
 }
 
 type shard struct {
@@ -127,7 +129,10 @@
 	}
 }
 
+// shard returns the shard of that ID. Its queue has a lane for each rank, and one
+// behind them for parts that can wait.
 func (s *service) shard(id ident.ShardID, queueLength, ranks int) *shard {
+	ranks++
 	sh := s.shards[id]
 	if sh == nil {
 		sh = &shard{
