VMs of a zone that is cut off leave the rotation

Ruled out: readiness from the store alone (noticed after up to 3.2 s, and also lost when only the store is away) and from upstreams alone (all VMs of all zones would leave together when a service is down). Change: a VM that finds no upstream for most requests of the last second asks VMs of other zones; while none answers it is not ready and lets clients go.

--- a/mirror/choice.go
+++ b/mirror/choice.go
@@ -94,6 +94,20 @@
 	return out
 }
 
+// Elsewhere returns up to n VMs of other availability zones.
+func (c *Choice) Elsewhere(n int) []Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Member
+	// The order of a map spreads the questions.
+	for _, m := range c.members {
+		if m.Zone != c.self.Zone && m.Certificate != "" && len(out) < n {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Distrust passes a mirror over for a while.
 func (c *Choice) Distrust(now time.Time, vm ident.VMID) {
 	c.mu.Lock()
--- a/node/core.go
+++ b/node/core.go
@@ -80,6 +80,7 @@
 	// Profiles has at most mostProfiles entries, one a route.
 	profiles map[ident.RouteID]*profile
 	splits   route.Splits
+	reach    reach
 	// Phase, 0 to 1, shifts the order in which splits begin.
 	phase float64
 	// Breaks are the latest losses of upstreams with an attempt in flight.
@@ -343,6 +344,9 @@
 	if q.preset != nil {
 		a.Preset = q.preset.Name
 	}
+	if q.arrival.Route != nil {
+		c.reach.count(now, a)
+	}
 	q.answered = true
 	if q.admitted {
 		c.admitted--
--- a/node/passing_test.go
+++ b/node/passing_test.go
@@ -235,3 +235,34 @@
 		}
 	}
 }
+
+// TestStranded. Pattern: a zone without replicas of its own is cut off. Most
+// requests then find no upstream; some failures among many successes, or a time
+// without requests, are no sign of it.
+func TestStranded(t *testing.T) {
+	m := newModel(8, node.Passing(), 4, 3, 4)
+	k := m.urgent()
+	m.outcomes["urgent"] = &outcome{}
+	for range 10 {
+		m.ask(k)
+	}
+	m.run()
+	if m.core.Stranded(m.now) {
+		t.Fatal("stranded while every request is served")
+	}
+	for i := range m.view.Services {
+		m.view.Services[i].Replicas = nil
+	}
+	m.core.Install(m.now, m.view)
+	m.now = m.now.Add(2 * time.Second)
+	for range 5 {
+		m.ask(k)
+	}
+	m.run()
+	if !m.core.Stranded(m.now) {
+		t.Fatal("not stranded although no request found an upstream")
+	}
+	if m.core.Stranded(m.now.Add(2 * time.Second)) {
+		t.Fatal("stranded without requests")
+	}
+}
--- a/traffic/lane.go
+++ b/traffic/lane.go
@@ -105,6 +105,8 @@
 	workers int
 	dropped atomic.Uint64
 	load    atomic.Int64
+	// Stranded is the core's word at the last event.
+	stranded atomic.Bool
 }
 
 // New returns a Lane that is not running. It subscribes to the board.
@@ -128,6 +130,10 @@
 // Dropped returns the number of reports that control had no room for.
 func (l *Lane) Dropped() uint64 { return l.dropped.Load() }
 
+// Stranded reports whether most requests of late found no upstream that could be
+// reached.
+func (l *Lane) Stranded() bool { return l.stranded.Load() }
+
 // InFlight returns the number of queries that are not answered.
 func (l *Lane) InFlight() int { return int(l.load.Load()) }
 
@@ -214,6 +220,7 @@
 		l.config.Core.Tick(l.config.Clock.Now())
 		l.carryOut(work)
 		l.load.Store(int64(l.config.Core.InFlight()))
+		l.stranded.Store(l.config.Core.Stranded(l.config.Clock.Now()))
 		timer.Reset(l.config.Clock.Until(l.config.Core.Wake()))
 	}
 }
--- a/vm/discovery.go
+++ b/vm/discovery.go
@@ -50,6 +50,7 @@
 	ZonesOut       watch.Source[ident.ZoneID]
 	// Front and Ready return the handlers of the clients' door and of the
 	// balancer's question.
+	// Leaving is true while clients should open their next connection elsewhere.
 	Front func(lane *traffic.Lane, board *view.Board, leaving func() bool) http.Handler
 	Ready func(ready func() bool) http.Handler
 }
@@ -82,8 +83,9 @@
 		_ = front.Close()
 		return &Error{"listen", CannotStart, err}
 	}
-	v.serve(ctx, front, d.Front(v.lane, v.board, v.door.Leaving))
-	v.serve(ctx, ready, d.Ready(v.door.Ready))
+	v.serve(ctx, front, d.Front(v.lane, v.board, func() bool { return v.door.Leaving() || v.cutOff.Load() }))
+	v.serve(ctx, ready, d.Ready(func() bool { return v.door.Ready() && !v.cutOff.Load() }))
+	v.group.Go(ctx, v.followReach)
 	r := &v.mirrors.readers
 	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, r.replicas, v.replicaTaker()) })
 	v.group.Go(ctx, func(ctx context.Context) { watch.Follow(ctx, r.configurations, v.configurationTaker()) })
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -96,6 +97,8 @@
 	// Discovery and mirrors are nil where the settings hold the catalogue.
 	discovery *Discovery
 	mirrors   *mirrors
+	// CutOff is true while the VM leaves its callers to other zones.
+	cutOff atomic.Bool
 	// Answered counts whole answers; it belongs to the lane's goroutine.
 	answered int
 }
