--- a/mirror/choice.go
+++ b/mirror/choice.go
@@ -15,8 +15,10 @@
 // long as a VM takes to restart.
 const distrustFor = 5 * time.Second
 
-// mirrorsTried is how many mirrors a VM asks before it reads the store itself.
-const mirrorsTried = 2
+// fanout is how many VMs read through one mirror. A zone of a hundred VMs is two
+// mirrors deep; its first VM would else answer a hundred questions a second for
+// each kind.
+const fanout = 16
 
 // A Member is a VM that may be a mirror.
 type Member struct {
@@ -27,10 +29,10 @@
 	Certificate string
 }
 
-// A Choice tells a VM whom to read from: the VMs of its own zone that come
-// before it in an order on which all agree, the first one first. The first VM of
-// a zone has none before it and reads the store. Its methods may be called from
-// several goroutines.
+// A Choice tells a VM whom to read from: one of the VMs of its own zone that come
+// before it in an order on which all agree, so that the zone forms a tree. The
+// first VM of a zone has none before it and reads the store. Its methods may be
+// called from several goroutines.
 type Choice struct {
 	self Member
 
@@ -81,15 +83,17 @@
 func (c *Choice) Mirrors(now time.Time) []Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	place := slices.IndexFunc(c.order, func(m Member) bool { return m.VM == c.self.VM })
+	if place < 1 {
+		// The first VM, or one that is not on the list yet.
+		return nil
+	}
 	var out []Member
-	for _, m := range c.order {
-		if m.VM == c.self.VM || len(out) == mirrorsTried {
-			break
-		}
-		if now.Before(c.distrusted[m.VM]) {
-			continue
+	for _, p := range []int{(place - 1) / fanout, 0, 1} {
+		m := c.order[min(p, place-1)]
+		if !now.Before(c.distrusted[m.VM]) && !slices.Contains(out, m) {
+			out = append(out, m)
 		}
-		out = append(out, m)
 	}
 	return out
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -268,3 +268,43 @@
 	}
 	*at = version
 }
+
+// TestMirrorsFormATree: however many VMs a zone has, each has at most fanout
+// others behind it while all answer, and each reaches the first one.
+func TestMirrorsFormATree(t *testing.T) {
+	const vms = 300
+	var members []mirror.Member
+	for i := range vms {
+		members = append(members, mirror.Member{VM: ident.VMID(fmt.Sprint("vm-", i)), Zone: "z", Certificate: "c"})
+	}
+	asked := map[ident.VMID]int{}
+	parent := map[ident.VMID]ident.VMID{}
+	roots := 0
+	for _, m := range members {
+		choice := mirror.NewChoice(m)
+		choice.Listed(members)
+		list := choice.Mirrors(time.Now())
+		if len(list) == 0 {
+			roots++
+			continue
+		}
+		asked[list[0].VM]++
+		parent[m.VM] = list[0].VM
+	}
+	if roots != 1 {
+		t.Fatalf("%d VMs read the store", roots)
+	}
+	for vm, n := range asked {
+		if n > 16 {
+			t.Errorf("%s is asked by %d VMs", vm, n)
+		}
+	}
+	for _, m := range members {
+		depth := 0
+		for vm := m.VM; parent[vm] != ""; vm = parent[vm] {
+			if depth++; depth > 3 {
+				t.Fatalf("%s is more than three mirrors away", m.VM)
+			}
+		}
+	}
+}
