A VM withdraws only the entry of its own life

Cause: the store may carry out a lost call seconds later; a late withdrawal would take a restarted VM off the list, and the others would share the terms among too few.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -366,9 +366,19 @@
 }
 
 func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	kind, name := chi.URLParam(r, "kind"), chi.URLParam(r, "name")
+	expected, _ := strconv.ParseUint(r.URL.Query().Get(wire.ParamRevision), 10, 64)
 	p.mu.Lock()
-	p.drop(chi.URLParam(r, "kind"), chi.URLParam(r, "name"))
+	held := p.kinds[kind][name]
+	conflict := expected != 0 && held.Meta.Revision != expected
+	if !conflict {
+		p.drop(kind, name)
+	}
 	p.mu.Unlock()
+	if conflict {
+		reply(w, http.StatusConflict, held)
+		return
+	}
 	reply(w, http.StatusOK, struct{}{})
 }
 
--- a/vm/discovery.go
+++ b/vm/discovery.go
@@ -34,8 +34,9 @@
 
 // A Registry keeps the list of VMs.
 type Registry interface {
-	Enter(ctx context.Context, vm platform.ListedVM) error
-	Withdraw(ctx context.Context, name string) error
+	// Enter returns the version of the VM's entry, which Withdraw takes away.
+	Enter(ctx context.Context, vm platform.ListedVM) (platform.StoreVersion, error)
+	Withdraw(ctx context.Context, name string, entry platform.StoreVersion) error
 }
 
 // A Discovery connects a VM to routes and replicas that it is told of while it
@@ -100,11 +101,12 @@
 func (v *VM) enter(ctx context.Context, self roster.Member) {
 	backoff := platform.Backoff{}
 	for ctx.Err() == nil {
-		err := v.discovery.Registry.Enter(ctx, platform.ListedVM{
+		version, err := v.discovery.Registry.Enter(ctx, platform.ListedVM{
 			Name: string(self.VM), Zone: string(self.Zone), Address: self.Address, Incarnation: uint64(self.Incarnation),
 			Certificate: v.mirrors.identity.Digest(),
 		})
 		if err == nil {
+			v.entry.Store(uint64(version))
 			return
 		}
 		v.log.Warn().Err(err).Msg("vm-not-listed")
@@ -114,10 +116,11 @@
 
 // withdraw takes this VM off the list of VMs.
 func (v *VM) withdraw(ctx context.Context) {
-	if v.discovery == nil {
+	entry := platform.StoreVersion(v.entry.Load())
+	if v.discovery == nil || entry == 0 {
 		return
 	}
-	if err := v.discovery.Registry.Withdraw(ctx, v.settings.Message.Vm.Name); err != nil {
+	if err := v.discovery.Registry.Withdraw(ctx, v.settings.Message.Vm.Name, entry); err != nil {
 		v.log.Warn().Err(err).Msg("vm-not-withdrawn")
 	}
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -97,6 +97,8 @@
 	// Discovery and mirrors are nil where the settings hold the catalogue.
 	discovery *Discovery
 	mirrors   *mirrors
+	// Entry is the version of this VM's entry on the list of VMs; 0 without one.
+	entry atomic.Uint64
 	// CutOff is true while the VM leaves its callers to other zones.
 	cutOff atomic.Bool
 	// Answered counts whole answers; it belongs to the lane's goroutine.
