--- a/carawaycross.go
+++ b/carawaycross.go
@@ -14,14 +14,14 @@
 
 	"github.com/rs/zerolog"
 
-	"carawaycross.example/carawaycross/clock"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/view"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/settings"
-	"carawaycross.example/carawaycross/traffic"
-	"carawaycross.example/carawaycross/view"
-	"carawaycross.example/carawaycross/vm"
+	"carawaycross.example/carawaycross/serve/clock"
+	"carawaycross.example/carawaycross/serve/settings"
+	"carawaycross.example/carawaycross/serve/traffic"
+	"carawaycross.example/carawaycross/serve/vm"
 )
 
 // Version is the version of the product.
--- a/cmd/carawaycross/change.go
+++ b/cmd/carawaycross/change.go
@@ -14,11 +14,11 @@
 
 	"github.com/integrii/flaggy"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/client"
-	"carawaycross.example/carawaycross/config"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/config"
 	"carawaycross.example/carawaycross/schema"
-	"carawaycross.example/carawaycross/settings"
+	"carawaycross.example/carawaycross/serve/client"
+	"carawaycross.example/carawaycross/serve/settings"
 )
 
 const changeTries = 3
--- a/cmd/carawaycross/entry.go
+++ b/cmd/carawaycross/entry.go
@@ -11,9 +11,9 @@
 	"github.com/rs/zerolog"
 
 	"carawaycross.example/carawaycross"
-	"carawaycross.example/carawaycross/eventlog"
-	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/core/node"
 	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/eventlog"
 )
 
 type entryCommand struct {
--- a/cmd/carawaycross/exit.go
+++ b/cmd/carawaycross/exit.go
@@ -7,9 +7,9 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/client"
-	"carawaycross.example/carawaycross/settings"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/serve/client"
+	"carawaycross.example/carawaycross/serve/settings"
 )
 
 // The exit codes of every subcommand.
--- a/cmd/carawaycross/explain.go
+++ b/cmd/carawaycross/explain.go
@@ -7,7 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"carawaycross.example/carawaycross/eventlog"
+	"carawaycross.example/carawaycross/serve/eventlog"
 )
 
 type explainCommand struct {
--- a/cmd/carawaycross/measure.go
+++ b/cmd/carawaycross/measure.go
@@ -9,7 +9,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"carawaycross.example/carawaycross/experiment"
+	"carawaycross.example/carawaycross/proof/experiment"
 )
 
 type measureCommand struct {
--- a/cmd/carawaycross/search.go
+++ b/cmd/carawaycross/search.go
@@ -9,9 +9,9 @@
 	"github.com/integrii/flaggy"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"carawaycross.example/carawaycross/client"
-	"carawaycross.example/carawaycross/door"
 	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/serve/client"
+	"carawaycross.example/carawaycross/serve/door"
 )
 
 const (
--- a/cmd/carawaycross/serve.go
+++ b/cmd/carawaycross/serve.go
@@ -10,9 +10,9 @@
 	"github.com/rs/zerolog"
 
 	"carawaycross.example/carawaycross"
-	"carawaycross.example/carawaycross/demo"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/settings"
+	"carawaycross.example/carawaycross/proof/demo"
+	"carawaycross.example/carawaycross/serve/settings"
 )
 
 type serveCommand struct{ settings string }
--- a/cmd/carawaycross/soak.go
+++ b/cmd/carawaycross/soak.go
@@ -9,7 +9,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"carawaycross.example/carawaycross/soak"
+	"carawaycross.example/carawaycross/proof/soak"
 )
 
 type soakCommand struct {
--- a/cmd/carawaycross/standin.go
+++ b/cmd/carawaycross/standin.go
@@ -9,8 +9,8 @@
 
 	"github.com/integrii/flaggy"
 
-	"carawaycross.example/carawaycross/peer"
-	"carawaycross.example/carawaycross/standin"
+	"carawaycross.example/carawaycross/proof/standin"
+	"carawaycross.example/carawaycross/serve/peer"
 )
 
 const defaultServiceTime = 5 * time.Millisecond
--- a/admission/admission.go
+++ b/core/admission/admission.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/policy"
+	"carawaycross.example/carawaycross/core/policy"
 )
 
 // A Request is the input of an admission.
--- a/booking/book.go
+++ b/core/booking/book.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // Ranges is the number of key ranges, each one object of the platform's store.
--- a/booking/booking_test.go
+++ b/core/booking/booking_test.go
@@ -9,8 +9,8 @@
 
 	"pgregory.net/rapid"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/internal/proptest"
 )
 
--- a/booking/ledger.go
+++ b/core/booking/ledger.go
@@ -8,8 +8,8 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // An Outcome is what is known of a request key.
--- a/booking/ticket.go
+++ b/core/booking/ticket.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 const (
--- a/catalogue/catalogue.go
+++ b/core/catalogue/catalogue.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/retry"
-	"carawaycross.example/carawaycross/route"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 // A Replica is a replica's own entry.
--- a/catalogue/catalogue_test.go
+++ b/core/catalogue/catalogue_test.go
@@ -4,10 +4,10 @@
 	"testing"
 	"time"
 
-	"carawaycross.example/carawaycross/catalogue"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/retry"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/catalogue"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 const start = ident.Instant(time.Hour)
--- a/config/config.go
+++ b/core/config/config.go
@@ -9,8 +9,8 @@
 	"fmt"
 	"slices"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/preset"
 )
 
 // HistoryLength is the number of changes kept in a Configuration.
--- a/config/config_test.go
+++ b/core/config/config_test.go
@@ -9,10 +9,10 @@
 
 	"pgregory.net/rapid"
 
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/preset"
 	"carawaycross.example/carawaycross/internal/proptest"
-	"carawaycross.example/carawaycross/preset"
 )
 
 func TestMain(m *testing.M) { os.Exit(proptest.Main(m)) }
--- a/config/fleet.go
+++ b/core/config/fleet.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // LeastSlotShare is the share of all slots that a step must leave in use.
--- a/container/container_test.go
+++ b/core/container/container_test.go
@@ -7,8 +7,8 @@
 
 	"pgregory.net/rapid"
 
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 type queued struct{ rank, value int }
--- a/container/timers.go
+++ b/core/container/timers.go
@@ -1,6 +1,6 @@
 package container
 
-import "carawaycross.example/carawaycross/ident"
+import "carawaycross.example/carawaycross/core/ident"
 
 type timer[T any] struct {
 	at ident.Instant
--- a/container/window.go
+++ b/core/container/window.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // A Number is a type that a Window can sum.
--- a/control/bench_test.go
+++ b/core/control/bench_test.go
@@ -7,13 +7,13 @@
 	"testing"
 	"time"
 
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/control"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/roster"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/control"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/roster"
+	"carawaycross.example/carawaycross/core/view"
+	"carawaycross.example/carawaycross/serve/codec"
 )
 
 // Rates of the size to design for, an hour.
--- a/control/control.go
+++ b/core/control/control.go
@@ -8,16 +8,16 @@
 	"math/rand/v2"
 	"time"
 
-	"carawaycross.example/carawaycross/catalogue"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/news"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/retry"
-	"carawaycross.example/carawaycross/roster"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/catalogue"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/news"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/roster"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 const (
--- a/control/core_test.go
+++ b/core/control/core_test.go
@@ -11,9 +11,9 @@
 
 	"carawaycross.example/carawaycross/internal/proptest"
 
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/roster"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/roster"
 )
 
 func TestMain(m *testing.M) { os.Exit(proptest.Main(m)) }
--- a/control/discovery.go
+++ b/core/control/discovery.go
@@ -1,8 +1,8 @@
 package control
 
 import (
-	"carawaycross.example/carawaycross/catalogue"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/catalogue"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // Configured takes the routes that the store holds and reports whether they are
--- a/control/discovery_test.go
+++ b/core/control/discovery_test.go
@@ -4,14 +4,14 @@
 	"testing"
 	"time"
 
-	"carawaycross.example/carawaycross/catalogue"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/control"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/retry"
-	"carawaycross.example/carawaycross/roster"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/catalogue"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/control"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/roster"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 func discovering(t *testing.T) (*control.Core, config.Configuration) {
--- a/control/gossip.go
+++ b/core/control/gossip.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/roster"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/roster"
 )
 
 // startRound sends this period's probe. The first rounds reach several VMs, so
--- a/control/status.go
+++ b/core/control/status.go
@@ -1,10 +1,10 @@
 package control
 
 import (
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/news"
-	"carawaycross.example/carawaycross/roster"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/news"
+	"carawaycross.example/carawaycross/core/roster"
 )
 
 // A Status is the control state, for operators.
--- a/control/steps_test.go
+++ b/core/control/steps_test.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"time"
 
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/control"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/control"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/serve/codec"
 )
 
 var steps = []func(*world){
--- a/control/view.go
+++ b/core/control/view.go
@@ -6,12 +6,12 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/news"
-	"carawaycross.example/carawaycross/poison"
-	"carawaycross.example/carawaycross/roster"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/news"
+	"carawaycross.example/carawaycross/core/poison"
+	"carawaycross.example/carawaycross/core/roster"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 func fingerprintSubject(f poison.Fingerprint) string {
--- a/control/world_test.go
+++ b/core/control/world_test.go
@@ -8,16 +8,16 @@
 	"slices"
 	"time"
 
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/control"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/operator"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/control"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/roster"
+	"carawaycross.example/carawaycross/core/view"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/roster"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/operator"
 )
 
 type chooser interface{ IntN(n int) int }
--- a/coverage/coverage.go
+++ b/core/coverage/coverage.go
@@ -1,7 +1,7 @@
 // Package coverage accounts for the shards that an answer covers.
 package coverage
 
-import "carawaycross.example/carawaycross/ident"
+import "carawaycross.example/carawaycross/core/ident"
 
 // A Reason says why a shard has no result.
 type Reason string
--- a/merge/merge_test.go
+++ b/core/merge/merge_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"carawaycross.example/carawaycross/merge"
+	"carawaycross.example/carawaycross/core/merge"
 )
 
 // TestTopAgainstSort compares Top with sorting every record.
--- a/news/news.go
+++ b/core/news/news.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // A Kind is a kind of news.
--- a/node/action.go
+++ b/core/node/action.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/admission"
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/coverage"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/passage"
-	"carawaycross.example/carawaycross/poison"
-	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/core/admission"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/coverage"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/passage"
+	"carawaycross.example/carawaycross/core/poison"
+	"carawaycross.example/carawaycross/core/replica"
 )
 
 // A Kind tells which fields of an Action are set.
--- a/node/attempt.go
+++ b/core/node/attempt.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/admission"
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/coverage"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/core/admission"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/coverage"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/replica"
 )
 
 // first sends the first attempt of a part, or queues it for a place.
--- a/node/bench_test.go
+++ b/core/node/bench_test.go
@@ -7,12 +7,12 @@
 	"testing"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/snapshot"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/snapshot"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 func benchCore(shards int, p node.Policies) (*node.Core, ident.Instant) {
--- a/node/core.go
+++ b/core/node/core.go
@@ -4,14 +4,14 @@
 	"math/rand/v2"
 	"time"
 
-	"carawaycross.example/carawaycross/admission"
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/poison"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/route"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/admission"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/poison"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 const (
--- a/node/event.go
+++ b/core/node/event.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/passage"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/route"
-	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/passage"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/snapshot"
 )
 
 // An Arrival is a request of a caller.
--- a/node/passing.go
+++ b/core/node/passing.go
@@ -5,12 +5,12 @@
 	"slices"
 	"time"
 
-	"carawaycross.example/carawaycross/admission"
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/coverage"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/core/admission"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/coverage"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/replica"
 )
 
 // Reasons of refused passing requests, besides those of package admission.
--- a/node/passing_test.go
+++ b/core/node/passing_test.go
@@ -4,10 +4,10 @@
 	"testing"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/policy"
-	"carawaycross.example/carawaycross/route"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/policy"
+	"carawaycross.example/carawaycross/core/route"
 )
 
 const modelSpan = 30 * time.Second
--- a/node/passing_world_test.go
+++ b/core/node/passing_world_test.go
@@ -6,15 +6,15 @@
 	"math/rand/v2"
 	"time"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/passage"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/retry"
-	"carawaycross.example/carawaycross/route"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/passage"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 // modelReplica is a replica with slots, pauses and faults.
--- a/node/policies.go
+++ b/core/node/policies.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/admission"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/policy"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/retry"
-	"carawaycross.example/carawaycross/route"
+	"carawaycross.example/carawaycross/core/admission"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/policy"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/route"
 )
 
 // A HedgeQuestion is the input of a hedge delay.
--- a/node/query.go
+++ b/core/node/query.go
@@ -1,15 +1,15 @@
 package node
 
 import (
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/coverage"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/passage"
-	"carawaycross.example/carawaycross/poison"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/route"
-	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/coverage"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/passage"
+	"carawaycross.example/carawaycross/core/poison"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/snapshot"
 )
 
 type partState uint8
--- a/node/report.go
+++ b/core/node/report.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/replica"
 )
 
 // A ReplicaReport is what the Core believes of one replica.
--- a/node/retry.go
+++ b/core/node/retry.go
@@ -3,10 +3,10 @@
 import (
 	"slices"
 
-	"carawaycross.example/carawaycross/coverage"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/poison"
-	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/core/coverage"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/poison"
+	"carawaycross.example/carawaycross/core/replica"
 )
 
 // replied decides what follows from the end of a query's attempt.
--- a/node/search.go
+++ b/core/node/search.go
@@ -1,11 +1,11 @@
 package node
 
 import (
-	"carawaycross.example/carawaycross/admission"
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/coverage"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/core/admission"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/coverage"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/snapshot"
 )
 
 func (c *Core) startSearch(now ident.Instant, q *query) {
--- a/node/service.go
+++ b/core/node/service.go
@@ -1,12 +1,12 @@
 package node
 
 import (
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/retry"
-	"carawaycross.example/carawaycross/snapshot"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/snapshot"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 // A waiter is a part that waits for a free place at its shard.
--- a/node/steps_test.go
+++ b/core/node/steps_test.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/replica"
 )
 
 // heedsDraining is how long an upstream's own word that it leaves must hold.
--- a/node/stranded.go
+++ b/core/node/stranded.go
@@ -1,10 +1,10 @@
 package node
 
 import (
-	"carawaycross.example/carawaycross/admission"
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/admission"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 const (
--- a/node/world_test.go
+++ b/core/node/world_test.go
@@ -7,14 +7,14 @@
 	"slices"
 	"time"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/snapshot"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/snapshot"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 // A chooser draws the world's random choices: a seeded generator in long runs,
--- a/poison/poison.go
+++ b/core/poison/poison.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // A Fingerprint identifies the content of a request, whatever its key.
--- a/preset/preset.go
+++ b/core/preset/preset.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // A Preset is a named set of decisions. Presets are immutable once accepted.
--- a/replica/choice.go
+++ b/core/replica/choice.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/policy"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/policy"
 )
 
 // A Random is an injected source of random numbers.
--- a/replica/cold.go
+++ b/core/replica/cold.go
@@ -1,6 +1,6 @@
 package replica
 
-import "carawaycross.example/carawaycross/ident"
+import "carawaycross.example/carawaycross/core/ident"
 
 // A coldGate meters out this VM's part of what a cold replica bears. The zero
 // value belongs to no cold time.
--- a/replica/limit.go
+++ b/core/replica/limit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // Shares are one VM's part of what a replica bears, summed over all VMs that
--- a/replica/pace.go
+++ b/core/replica/pace.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 const (
--- a/replica/replica.go
+++ b/core/replica/replica.go
@@ -6,8 +6,8 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/snapshot"
 )
 
 // A Condition is what a VM believes of a replica.
--- a/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -7,9 +7,9 @@
 
 	"pgregory.net/rapid"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/snapshot"
 )
 
 // TestRampSharesSumToTheStage: whatever the number of VMs, their parts of a
--- a/replica/shard.go
+++ b/core/replica/shard.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/snapshot"
 )
 
 // A Shard is the replicas of one shard.
--- a/replica/soonest_test.go
+++ b/core/replica/soonest_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/replica"
 )
 
 const typical = 10 * time.Millisecond
--- a/retry/budget.go
+++ b/core/retry/budget.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 const (
--- a/retry/latency.go
+++ b/core/retry/latency.go
@@ -5,7 +5,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 const (
--- a/retry/quota.go
+++ b/core/retry/quota.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // Terms are what all VMs together may send beyond the first attempts at one
--- a/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -6,8 +6,8 @@
 
 	"pgregory.net/rapid"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/retry"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/retry"
 )
 
 // TestBudgetBoundsExtraLoad: hedges stay within 5% of the first attempts, and
--- a/roster/probe.go
+++ b/core/roster/probe.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/replica"
 )
 
 // NextProbe returns the next VM to probe, round robin over the shuffled
--- a/roster/roster.go
+++ b/core/roster/roster.go
@@ -12,8 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // A State is what is believed of a VM. Within an incarnation a later state
--- a/roster/share.go
+++ b/core/roster/share.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // Senders returns the VMs that may be sending to upstreams, in the order of
--- a/route/route.go
+++ b/core/route/route.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // A Route is one rule of the operators' configuration.
--- a/route/route_test.go
+++ b/core/route/route_test.go
@@ -6,8 +6,8 @@
 
 	"pgregory.net/rapid"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/route"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/route"
 )
 
 func TestMatchTakesTheLongestPrefix(t *testing.T) {
--- a/route/split.go
+++ b/core/route/split.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"strings"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // A Split deals requests out to the targets of a route by smooth weighted round
--- a/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -5,7 +5,7 @@
 import (
 	"slices"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // A Range is the snapshots that a replica holds. The zero value is unknown.
--- a/snapshot/snapshot_test.go
+++ b/core/snapshot/snapshot_test.go
@@ -5,8 +5,8 @@
 
 	"pgregory.net/rapid"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/snapshot"
 )
 
 // TestChooseAgainstOracle compares Choose with a search over every snapshot.
--- a/view/view.go
+++ b/core/view/view.go
@@ -5,13 +5,13 @@
 import (
 	"time"
 
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/poison"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/retry"
-	"carawaycross.example/carawaycross/route"
-	"carawaycross.example/carawaycross/snapshot"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/poison"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/snapshot"
 )
 
 // A Replica is what control knows of one replica.
--- a/example_embedding_test.go
+++ b/example_embedding_test.go
@@ -5,13 +5,13 @@
 	"math/rand/v2"
 	"time"
 
-	"carawaycross.example/carawaycross/container"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/snapshot"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/snapshot"
+	"carawaycross.example/carawaycross/core/view"
 )
 
 const (
--- a/demo/demo.go
+++ b/proof/demo/demo.go
@@ -13,11 +13,11 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"carawaycross.example/carawaycross/client"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/fleet"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/proof/fleet"
 	"carawaycross.example/carawaycross/schema"
-	"carawaycross.example/carawaycross/vm"
+	"carawaycross.example/carawaycross/serve/client"
+	"carawaycross.example/carawaycross/serve/vm"
 )
 
 const (
--- a/experiment/load.go
+++ b/proof/experiment/load.go
@@ -13,8 +13,8 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"carawaycross.example/carawaycross/client"
 	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/serve/client"
 )
 
 // A Load is open: queries arrive at random times whether or not earlier ones
--- a/experiment/run.go
+++ b/proof/experiment/run.go
@@ -9,8 +9,8 @@
 
 	"github.com/rs/zerolog"
 
-	"carawaycross.example/carawaycross/fleet"
-	"carawaycross.example/carawaycross/vm"
+	"carawaycross.example/carawaycross/proof/fleet"
+	"carawaycross.example/carawaycross/serve/vm"
 )
 
 // Spans are the times of one run.
--- a/experiment/scenario.go
+++ b/proof/experiment/scenario.go
@@ -4,8 +4,8 @@
 	"strings"
 	"time"
 
-	"carawaycross.example/carawaycross/fleet"
-	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/proof/fleet"
 )
 
 // A Scenario is a fault under load.
--- a/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -10,12 +10,12 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/peer"
-	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/proof/standin"
 	"carawaycross.example/carawaycross/schema"
-	"carawaycross.example/carawaycross/settings"
-	"carawaycross.example/carawaycross/standin"
+	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/peer"
+	"carawaycross.example/carawaycross/serve/settings"
 )
 
 const (
--- a/fleet/site.go
+++ b/proof/fleet/site.go
@@ -7,12 +7,12 @@
 	"strconv"
 	"time"
 
-	"carawaycross.example/carawaycross/catalogue"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/catalogue"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/route"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/retry"
-	"carawaycross.example/carawaycross/route"
-	"carawaycross.example/carawaycross/standin"
+	"carawaycross.example/carawaycross/proof/standin"
 )
 
 // A SiteSpec describes a deployment of stand-ins whose routes and replicas are
--- a/soak/client.go
+++ b/proof/soak/client.go
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
-	"carawaycross.example/carawaycross/fleet"
-	"carawaycross.example/carawaycross/merge"
+	"carawaycross.example/carawaycross/core/merge"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/standin"
+	"carawaycross.example/carawaycross/proof/fleet"
+	"carawaycross.example/carawaycross/proof/standin"
 )
 
 const (
--- a/soak/faults.go
+++ b/proof/soak/faults.go
@@ -6,10 +6,10 @@
 	"syscall"
 	"time"
 
-	"carawaycross.example/carawaycross/fleet"
+	"carawaycross.example/carawaycross/core/route"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/route"
-	"carawaycross.example/carawaycross/standin"
+	"carawaycross.example/carawaycross/proof/fleet"
+	"carawaycross.example/carawaycross/proof/standin"
 )
 
 const (
--- a/soak/proxy.go
+++ b/proof/soak/proxy.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"carawaycross.example/carawaycross/clock"
+	"carawaycross.example/carawaycross/serve/clock"
 )
 
 // A Mode is what a Proxy does to the bytes that pass it.
--- a/soak/soak.go
+++ b/proof/soak/soak.go
@@ -12,8 +12,8 @@
 	"os"
 	"time"
 
-	"carawaycross.example/carawaycross/fleet"
-	"carawaycross.example/carawaycross/standin"
+	"carawaycross.example/carawaycross/proof/fleet"
+	"carawaycross.example/carawaycross/proof/standin"
 )
 
 // A Kind classifies an Error.
--- a/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"carawaycross.example/carawaycross/soak"
+	"carawaycross.example/carawaycross/proof/soak"
 )
 
 // seeds are run in each test: the first one for the start, and each one that ever
@@ -27,7 +27,7 @@
 		t.Skip("starts processes")
 	}
 	binary := filepath.Join(t.TempDir(), "carawaycross")
-	build := exec.Command("go", "build", "-o", binary, "../cmd/carawaycross")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/carawaycross")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
--- a/standin/platform.go
+++ b/proof/standin/platform.go
@@ -15,8 +15,8 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"carawaycross.example/carawaycross/clock"
 	"carawaycross.example/carawaycross/platform/wire"
+	"carawaycross.example/carawaycross/serve/clock"
 )
 
 const (
--- a/standin/replica.go
+++ b/proof/standin/replica.go
@@ -13,9 +13,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"carawaycross.example/carawaycross/catalogue"
-	"carawaycross.example/carawaycross/clock"
+	"carawaycross.example/carawaycross/core/catalogue"
 	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/clock"
 )
 
 const (
--- a/standin/upstream.go
+++ b/proof/standin/upstream.go
@@ -15,9 +15,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"carawaycross.example/carawaycross/clock"
 	"carawaycross.example/carawaycross/schema"
-	"carawaycross.example/carawaycross/upstream"
+	"carawaycross.example/carawaycross/serve/clock"
+	"carawaycross.example/carawaycross/serve/upstream"
 )
 
 const (
--- a/claim/claim.go
+++ b/serve/claim/claim.go
@@ -7,12 +7,12 @@
 	"context"
 	"errors"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/clock"
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/task"
+	"carawaycross.example/carawaycross/serve/clock"
+	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/task"
 )
 
 const (
--- a/client/client.go
+++ b/serve/client/client.go
@@ -13,9 +13,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/door"
+	"carawaycross.example/carawaycross/core/booking"
 	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/serve/door"
 )
 
 const largestAnswer = 64 << 20
--- a/clock/clock.go
+++ b/serve/clock/clock.go
@@ -6,7 +6,7 @@
 	"context"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // A Clock tells the time. The zero value is not usable; see New.
--- a/codec/caller.go
+++ b/serve/codec/caller.go
@@ -5,10 +5,10 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"carawaycross.example/carawaycross/admission"
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/core/admission"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
 	"carawaycross.example/carawaycross/schema"
 )
 
--- a/codec/catalogue.go
+++ b/serve/codec/catalogue.go
@@ -5,9 +5,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"carawaycross.example/carawaycross/catalogue"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/route"
+	"carawaycross.example/carawaycross/core/catalogue"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/route"
 	"carawaycross.example/carawaycross/schema"
 )
 
--- a/codec/claim.go
+++ b/serve/codec/claim.go
@@ -6,8 +6,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/schema"
 )
 
--- a/codec/config.go
+++ b/serve/codec/config.go
@@ -8,9 +8,9 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/preset"
 	"carawaycross.example/carawaycross/schema"
 )
 
--- a/codec/peer.go
+++ b/serve/codec/peer.go
@@ -5,10 +5,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"carawaycross.example/carawaycross/control"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/news"
-	"carawaycross.example/carawaycross/roster"
+	"carawaycross.example/carawaycross/core/control"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/news"
+	"carawaycross.example/carawaycross/core/roster"
 	"carawaycross.example/carawaycross/schema"
 )
 
--- a/door/body.go
+++ b/serve/door/body.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/node"
 )
 
 // The content types of bodies.
--- a/door/door.go
+++ b/serve/door/door.go
@@ -16,17 +16,17 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"carawaycross.example/carawaycross/admission"
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/gauge"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/operator"
+	"carawaycross.example/carawaycross/core/admission"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/view"
 	"carawaycross.example/carawaycross/schema"
-	"carawaycross.example/carawaycross/traffic"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/gauge"
+	"carawaycross.example/carawaycross/serve/operator"
+	"carawaycross.example/carawaycross/serve/traffic"
 )
 
 // A Kind classifies an Error.
--- a/door/operators.go
+++ b/serve/door/operators.go
@@ -4,12 +4,12 @@
 	"net/http"
 	"strings"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/operator"
-	"carawaycross.example/carawaycross/preset"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/preset"
 	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/operator"
 )
 
 func (d *Door) configuration(w http.ResponseWriter, r *http.Request) {
--- a/eventlog/eventlog_test.go
+++ b/serve/eventlog/eventlog_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/rs/zerolog"
 
-	"carawaycross.example/carawaycross/eventlog"
+	"carawaycross.example/carawaycross/serve/eventlog"
 )
 
 // slowWriter takes a while for each line, as a full pipe does.
@@ -99,7 +99,7 @@
 // TestEventsAreDocumented: docs/OPERATIONS.md lists each event that the code
 // logs, and no other.
 func TestEventsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -110,7 +110,7 @@
 		listed = append(listed, m[1])
 	}
 	used := map[string]string{}
-	err = filepath.Walk("..", func(path string, info os.FileInfo, err error) error {
+	err = filepath.Walk("../..", func(path string, info os.FileInfo, err error) error {
 		if err != nil || info.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
--- a/gauge/gauge.go
+++ b/serve/gauge/gauge.go
@@ -14,9 +14,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"carawaycross.example/carawaycross/admission"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/core/admission"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
 )
 
 const (
--- a/mirror/choice.go
+++ b/serve/mirror/choice.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // distrustFor is how long a mirror that did not answer is passed over: about as
--- a/mirror/mirror_test.go
+++ b/serve/mirror/mirror_test.go
@@ -9,9 +9,9 @@
 
 	"pgregory.net/rapid"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/mirror"
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/mirror"
 )
 
 // fakeStore is a source of strings with a history.
--- a/operator/operator.go
+++ b/serve/operator/operator.go
@@ -8,10 +8,10 @@
 	"errors"
 	"fmt"
 
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/codec"
 )
 
 // A Kind classifies an Error.
--- a/peer/accept.go
+++ b/serve/peer/accept.go
@@ -7,7 +7,7 @@
 
 	"github.com/quic-go/quic-go"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // accept takes connections until the listener closes.
--- a/peer/peer.go
+++ b/serve/peer/peer.go
@@ -17,8 +17,8 @@
 
 	"github.com/quic-go/quic-go"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/task"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/serve/task"
 )
 
 const (
--- a/peer/peer_test.go
+++ b/serve/peer/peer_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/peer"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/serve/peer"
 )
 
 type inbox chan string
--- a/peer/pinned.go
+++ b/serve/peer/pinned.go
@@ -11,7 +11,7 @@
 	"fmt"
 	"time"
 
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/ident"
 )
 
 // pinnedLife is the life of a certificate that is made at a VM's start. Its dates
--- a/settings/check.go
+++ b/serve/settings/check.go
@@ -9,8 +9,8 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"carawaycross.example/carawaycross/codec"
 	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/serve/codec"
 )
 
 const (
--- a/settings/settings_test.go
+++ b/serve/settings/settings_test.go
@@ -5,12 +5,12 @@
 	"strings"
 	"testing"
 
-	"carawaycross.example/carawaycross/settings"
+	"carawaycross.example/carawaycross/serve/settings"
 )
 
 func example(t *testing.T) string {
 	t.Helper()
-	text, err := os.ReadFile("../examples/association.yaml")
+	text, err := os.ReadFile("../../examples/association.yaml")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -43,7 +43,7 @@
 }
 
 func TestExamplesAreRight(t *testing.T) {
-	for _, path := range []string{"../examples/association.yaml", "../examples/karaoke.yaml"} {
+	for _, path := range []string{"../../examples/association.yaml", "../../examples/karaoke.yaml"} {
 		s, err := settings.Load(path)
 		if err != nil {
 			t.Fatal(err)
--- a/settings/typed.go
+++ b/serve/settings/typed.go
@@ -1,15 +1,15 @@
 package settings
 
 import (
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/preset"
-	"carawaycross.example/carawaycross/retry"
-	"carawaycross.example/carawaycross/roster"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/preset"
+	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/roster"
+	"carawaycross.example/carawaycross/core/snapshot"
+	"carawaycross.example/carawaycross/core/view"
 	"carawaycross.example/carawaycross/schema"
-	"carawaycross.example/carawaycross/snapshot"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/serve/codec"
 )
 
 // Settings are checked settings.
--- a/traffic/lane.go
+++ b/serve/traffic/lane.go
@@ -7,11 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/clock"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/view"
+	"carawaycross.example/carawaycross/serve/clock"
 )
 
 const (
--- a/upstream/upstream.go
+++ b/serve/upstream/upstream.go
@@ -22,11 +22,11 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/snapshot"
 	"carawaycross.example/carawaycross/schema"
-	"carawaycross.example/carawaycross/snapshot"
 )
 
 // The protocol's names.
--- a/vm/bench_test.go
+++ b/serve/vm/bench_test.go
@@ -12,15 +12,15 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"carawaycross.example/carawaycross/client"
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/fleet"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
-	"carawaycross.example/carawaycross/replica"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/proof/fleet"
 	"carawaycross.example/carawaycross/schema"
-	"carawaycross.example/carawaycross/upstream"
-	"carawaycross.example/carawaycross/vm"
+	"carawaycross.example/carawaycross/serve/client"
+	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/upstream"
+	"carawaycross.example/carawaycross/serve/vm"
 )
 
 // benchSpec has stand-ins that take no time, one replica a shard.
--- a/vm/control_test.go
+++ b/serve/vm/control_test.go
@@ -10,13 +10,13 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
-	"carawaycross.example/carawaycross/client"
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/peer"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/proof/standin"
 	"carawaycross.example/carawaycross/schema"
-	"carawaycross.example/carawaycross/standin"
-	"carawaycross.example/carawaycross/vm"
+	"carawaycross.example/carawaycross/serve/client"
+	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/peer"
+	"carawaycross.example/carawaycross/serve/vm"
 )
 
 var _ = Describe("control", func() {
--- a/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -7,17 +7,17 @@
 	"net/http"
 	"time"
 
-	"carawaycross.example/carawaycross/booking"
-	"carawaycross.example/carawaycross/catalogue"
-	"carawaycross.example/carawaycross/clock"
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/control"
-	"carawaycross.example/carawaycross/ident"
+	"carawaycross.example/carawaycross/core/booking"
+	"carawaycross.example/carawaycross/core/catalogue"
+	"carawaycross.example/carawaycross/core/control"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/roster"
+	"carawaycross.example/carawaycross/core/view"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/roster"
-	"carawaycross.example/carawaycross/traffic"
-	"carawaycross.example/carawaycross/view"
-	"carawaycross.example/carawaycross/watch"
+	"carawaycross.example/carawaycross/serve/clock"
+	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/traffic"
+	"carawaycross.example/carawaycross/serve/watch"
 )
 
 // listVMsEvery is the time between two reads of the list of VMs: a VM that comes
--- a/vm/events.go
+++ b/serve/vm/events.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"carawaycross.example/carawaycross/coverage"
-	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/core/coverage"
+	"carawaycross.example/carawaycross/core/node"
 )
 
 // sampledAnswers is one in how many whole answers within their goal are logged;
--- a/vm/loop.go
+++ b/serve/vm/loop.go
@@ -7,14 +7,14 @@
 
 	"github.com/rs/zerolog"
 
-	"carawaycross.example/carawaycross/clock"
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/config"
-	"carawaycross.example/carawaycross/control"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/core/control"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/view"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/view"
+	"carawaycross.example/carawaycross/serve/clock"
+	"carawaycross.example/carawaycross/serve/codec"
 )
 
 const (
--- a/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -6,14 +6,14 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"carawaycross.example/carawaycross/catalogue"
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/mirror"
-	"carawaycross.example/carawaycross/peer"
+	"carawaycross.example/carawaycross/core/catalogue"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/roster"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/roster"
 	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/mirror"
+	"carawaycross.example/carawaycross/serve/peer"
 )
 
 // mirrors are what a VM reads through other VMs, and tells them.
--- a/vm/reach.go
+++ b/serve/vm/reach.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"carawaycross.example/carawaycross/clock"
-	"carawaycross.example/carawaycross/mirror"
+	"carawaycross.example/carawaycross/serve/clock"
+	"carawaycross.example/carawaycross/serve/mirror"
 )
 
 const (
--- a/vm/status.go
+++ b/serve/vm/status.go
@@ -10,12 +10,12 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
-	"carawaycross.example/carawaycross/control"
-	"carawaycross.example/carawaycross/ident"
-	"carawaycross.example/carawaycross/node"
+	"carawaycross.example/carawaycross/core/control"
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/roster"
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/replica"
-	"carawaycross.example/carawaycross/roster"
 	"carawaycross.example/carawaycross/schema"
 )
 
--- a/vm/traffic_test.go
+++ b/serve/vm/traffic_test.go
@@ -11,8 +11,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"carawaycross.example/carawaycross/proof/standin"
 	"carawaycross.example/carawaycross/schema"
-	"carawaycross.example/carawaycross/standin"
 )
 
 const loadWorkers = 8
--- a/watch/feed.go
+++ b/serve/watch/feed.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"carawaycross.example/carawaycross/clock"
 	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/clock"
 )
 
 // longestRetry bounds the wait between two calls while the store fails: a change
--- a/watch/watch.go
+++ b/serve/watch/watch.go
@@ -9,10 +9,10 @@
 	"math/rand/v2"
 	"time"
 
-	"carawaycross.example/carawaycross/clock"
-	"carawaycross.example/carawaycross/codec"
-	"carawaycross.example/carawaycross/config"
+	"carawaycross.example/carawaycross/core/config"
 	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/clock"
+	"carawaycross.example/carawaycross/serve/codec"
 )
 
 const (
--- a/shape_test.go
+++ b/shape_test.go
@@ -39,7 +39,7 @@
 
 func TestDecisionPackagesKeepToValues(t *testing.T) {
 	for _, pkg := range decisionPackages {
-		files, err := filepath.Glob(filepath.Join(pkg, "*.go"))
+		files, err := filepath.Glob(filepath.Join("core", pkg, "*.go"))
 		if err != nil || len(files) == 0 {
 			t.Fatalf("%s: found no files (%v)", pkg, err)
 		}
@@ -97,7 +97,7 @@
 }
 
 func importAllowed(pkg, name string) bool {
-	if own, ok := strings.CutPrefix(name, module); ok {
+	if own, ok := strings.CutPrefix(name, module+"core/"); ok {
 		return slices.Contains(decisionPackages, own)
 	}
 	return slices.Contains(allowedImports, name) || slices.Contains(extraImports[pkg], name)
