A mirror whose own mirror failed is out of touch until the store has answered

Ruled out: the watch's wait alone (one silent call is within the bound), a lost event (the others read it from the store at once when they asked). Change: a VM that turns from its mirror to the store says that it is out of touch until the store has answered; nobody turns to a second mirror; and where a change is due sooner than a silent mirror is noticed (the small sites), each VM reads the store itself. TestMirrorBehindASilentOneIsOutOfTouch failed first.

--- a/carawaycross.go
+++ b/carawaycross.go
@@ -94,7 +94,7 @@
 	presets := store.Objects(boot.PresetsObject())
 	a.options.Store = store
 	a.options.Discovery = &vm.Discovery{
-		Carrier: &platform.Sender{}, Registry: store, Presets: presets,
+		Carrier: &platform.Sender{}, Registry: store, Presets: presets, Direct: boot.Direct,
 		Replicas: replicas, Configurations: configurations, ZonesOut: zones,
 		Front: func(lane *traffic.Lane, board *view.Board, leaving func() bool) http.Handler {
 			return &platform.Front{Lane: lane, Board: board, Log: log, Leaving: leaving}
--- a/proof/fleet/site.go
+++ b/proof/fleet/site.go
@@ -45,10 +45,12 @@
 	SearchHost = "search.example"
 	DeskHost   = "desk.example"
 	Desk       = ident.ServiceID("kitchen-desk")
-	// CalmAfter is the time after which the store counts as calm, GraceFor the
-	// time from SIGTERM to SIGKILL.
-	CalmAfter = 2500 * time.Millisecond
-	GraceFor  = 4 * time.Second
+	// CalmAfter is the time after which the store counts as calm, ApplyWithin the
+	// time within which a change is in force, GraceFor the time from SIGTERM to
+	// SIGKILL.
+	CalmAfter   = 2500 * time.Millisecond
+	ApplyWithin = 3 * time.Second
+	GraceFor    = 4 * time.Second
 )
 
 // A Site is a running deployment of stand-ins. See StartSite.
@@ -198,7 +200,7 @@
 	return platform.BootSpec{
 		VM: fmt.Sprintf("entry-%d", i), Zone: s.Spec.Zones[i%len(s.Spec.Zones)], Zones: s.Spec.Zones, IP: "127.0.0.1",
 		Front: ports[0], Ready: ports[1], Internal: ports[2], Store: s.told(s.Platform.Address()),
-		Grace: GraceFor, Calm: CalmAfter, Terms: retry.Terms{Ratio: 0.2, Allowance: 52, Span: 10 * time.Second},
+		Grace: GraceFor, Calm: CalmAfter, Apply: ApplyWithin, Terms: retry.Terms{Ratio: 0.2, Allowance: 52, Span: 10 * time.Second},
 	}, nil
 }
 
--- a/serve/mirror/choice.go
+++ b/serve/mirror/choice.go
@@ -34,7 +34,8 @@
 // first VM of a zone has none before it and reads the store. Its methods may be
 // called from several goroutines.
 type Choice struct {
-	self Member
+	self   Member
+	direct bool
 
 	mu      sync.Mutex
 	members map[ident.VMID]Member
@@ -49,6 +50,10 @@
 	return &Choice{self: self, members: map[ident.VMID]Member{}, distrusted: map[ident.VMID]time.Time{}}
 }
 
+// Direct makes the VM read the store itself, whatever others there are. It must
+// be called before the Choice is used.
+func (c *Choice) Direct() { c.direct = true }
+
 // Listed takes the list of VMs.
 func (c *Choice) Listed(members []Member) {
 	c.mu.Lock()
@@ -83,14 +88,17 @@
 func (c *Choice) Mirrors(now time.Time) []Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.direct {
+		return nil
+	}
 	place := slices.IndexFunc(c.order, func(m Member) bool { return m.VM == c.self.VM })
 	if place < 1 {
 		// The first VM, or one that is not on the list yet.
 		return nil
 	}
 	var out []Member
-	for _, p := range []int{(place - 1) / fanout, 0, 1} {
-		m := c.order[min(p, place-1)]
+	for _, p := range []int{(place - 1) / fanout, 0} {
+		m := c.order[p]
 		if !now.Before(c.distrusted[m.VM]) && !slices.Contains(out, m) {
 			out = append(out, m)
 		}
--- a/serve/mirror/mirror_test.go
+++ b/serve/mirror/mirror_test.go
@@ -21,6 +21,8 @@
 	log     []platform.Change[string]
 	down    bool
 	reads   int
+	// Waiting is called while a caller waits for changes; may be nil.
+	waiting func()
 }
 
 var errDown = errors.New("down")
@@ -42,6 +44,9 @@
 // Changes returns at once; version n holds the first n changes.
 func (s *fakeStore) Changes(_ context.Context, after platform.StoreVersion) ([]platform.Change[string], platform.StoreVersion, error) {
 	s.reads++
+	if s.waiting != nil {
+		s.waiting()
+	}
 	if s.down {
 		return nil, after, errDown
 	}
@@ -308,3 +313,33 @@
 		}
 	}
 }
+
+// TestMirrorBehindASilentOneIsOutOfTouch. Pattern: the store falls silent for the
+// first VM of a zone and for the second. Once the first says that it is out of
+// touch, the second has no word of its own from the store yet: it must not keep
+// the others waiting until its own call has run out too (found by hunt-9869-15 on
+// nslca-cross-grown: a version came 6.1 s after its acknowledgement).
+func TestMirrorBehindASilentOneIsOutOfTouch(t *testing.T) {
+	store := newStore()
+	store.set("a", "1")
+	readers, _, _ := zone(store, 3)
+	ctx := context.Background()
+	for _, r := range readers {
+		if _, err := r.List(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	store.down = true
+	if _, _, err := readers[0].Changes(ctx, 1); err == nil {
+		t.Fatal("the first VM read a store that is down")
+	}
+	// What the third VM would be told while the second waits for the store.
+	var told mirror.Answer[[]byte]
+	store.waiting = func() { told = readers[1].Answer(ctx, mirror.Question{Kind: "things", After: 1}) }
+	if _, _, err := readers[1].Changes(ctx, 1); err == nil {
+		t.Fatal("the second VM read a store that is down")
+	}
+	if told.Outcome != mirror.OutOfTouch {
+		t.Fatalf("the second VM said %q while it had no word from the store", told.Outcome)
+	}
+}
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -84,6 +84,9 @@
 	for _, m := range r.choice.Mirrors(time.Now()) {
 		a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: waitAtMirror})
 		if !ok {
+			// Until the store itself has answered, this VM is out of touch too: those
+			// who read through it must not wait for its call to run out.
+			r.book.Failed()
 			continue
 		}
 		if a.Outcome == Compacted {
--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -49,6 +49,8 @@
 	Replicas       watch.Source[catalogue.Replica]
 	Configurations watch.Source[catalogue.Configuration]
 	ZonesOut       watch.Source[ident.ZoneID]
+	// Direct makes the VM read the store itself, not through another VM.
+	Direct bool
 	// Front and Ready return the handlers of the clients' door and of the
 	// balancer's question.
 	// Leaving is true while clients should open their next connection elsewhere.
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -39,6 +39,9 @@
 	d := v.discovery
 	self.Address = v.settings.Message.Vm.Listen
 	m := &mirrors{choice: mirror.NewChoice(mirror.Member{VM: self.VM, Zone: self.Zone})}
+	if d.Direct {
+		m.choice.Direct()
+	}
 	line := line{v}
 	m.readers = readers{
 		replicas: mirror.NewReader(d.Replicas, mirror.Codec[catalogue.Replica]{
