--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -19,6 +19,7 @@
 	{3, "short run of the usual faults"},
 	{2, "the checker ended a fault early and reported a stop as late"},
 	{318, "a restarted VM found its port in use: it was from the range for outgoing connections"},
+	{606, "a stop cut off a request that waited at a replica that hangs"},
 	{13, "the checker mistook the process started after a kill for the one that got SIGTERM"},
 }
 
