--- a/cmd/carawaycross/main.go
+++ b/cmd/carawaycross/main.go
@@ -27,7 +27,7 @@
 		&entryCommand{}, &serveCommand{}, &checkCommand{}, &demoCommand{}, &measureCommand{},
 		&searchCommand{}, &bookCommand{}, &statusCommand{},
 		&presetCommand{}, newOutCommand("zone"), newOutCommand("vm"),
-		&standinCommand{}, &soakCommand{}, &explainCommand{}, &keysCommand{}, &versionCommand{},
+		&standinCommand{}, &soakCommand{}, &modelCommand{}, &explainCommand{}, &keysCommand{}, &versionCommand{},
 	}
 }
 
--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -7,10 +7,12 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/serve/task"
 )
@@ -48,17 +50,56 @@
 	// batches holds the changes after base in ascending order of version.
 	batches []batch[T]
 	base    platform.StoreVersion
-	// connected reports whether the last read succeeded.
+	// connected reports whether the last read succeeded, from the store or a mirror.
 	connected bool
+	// relayed reports whether the last read succeeded, but only from a VM that is no
+	// mirror of this one. The cache is then not connected.
+	relayed bool
+	// path holds the VMs through which the last successful read came, nearest first;
+	// none if it came from the store.
+	path []ident.VMID
 	// disconnectedAt is when connected became false.
 	disconnectedAt time.Time
 	// updated signals a change of the objects or of connected.
 	updated task.Signal
+	// now replaces time.Now unless nil.
+	now func() time.Time
 }
 
-// SetListing replaces all objects by a listing, unless the cache holds a newer version.
-// It drops the kept changes.
-func (c *Cache[T]) SetListing(l platform.Listing[T]) {
+func (c *Cache[T]) time() time.Time {
+	if c.now == nil {
+		return time.Now()
+	}
+	return c.now()
+}
+
+// Version returns the version of the objects, or 0 if nothing was read yet.
+func (c *Cache[T]) Version() platform.StoreVersion {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
+// state describes the cache, except for the values of its objects.
+func (c *Cache[T]) state(now time.Time) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	inGrace := !c.connected && now.Sub(c.disconnectedAt) < disconnectGrace
+	return fmt.Sprint(c.version, c.base, len(c.batches), c.connected, c.relayed, c.path, inGrace)
+}
+
+// SetListing replaces all objects by a listing that came through the VMs of path, unless
+// the cache holds a newer version. It drops the kept changes.
+func (c *Cache[T]) SetListing(l platform.Listing[T], path ...ident.VMID) {
+	c.setListing(l, true, path)
+}
+
+// SetListingWhileDisconnected is SetListing for a listing from a VM that is no mirror.
+func (c *Cache[T]) SetListingWhileDisconnected(l platform.Listing[T], path ...ident.VMID) {
+	c.setListing(l, false, path)
+}
+
+func (c *Cache[T]) setListing(l platform.Listing[T], connected bool, path []ident.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if l.Version < c.version {
@@ -68,16 +109,18 @@
 	for _, i := range l.Items {
 		c.objects[i.Name] = i.Value
 	}
-	c.version, c.base, c.batches, c.connected = l.Version, l.Version, nil, true
+	c.version, c.base, c.batches = l.Version, l.Version, nil
+	c.connected, c.relayed, c.path = connected, !connected, path
 	c.updated.Broadcast()
 }
 
-// Apply applies the changes up to a version and marks the cache as connected.
-func (c *Cache[T]) Apply(changes []platform.Change[T], version platform.StoreVersion) {
+// Apply applies the changes up to a version, which came through the VMs of path, and
+// marks the cache as connected.
+func (c *Cache[T]) Apply(changes []platform.Change[T], version platform.StoreVersion, path ...ident.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wasConnected := c.connected
-	c.connected = true
+	c.connected, c.relayed, c.path = true, false, path
 	c.apply(changes, version)
 	if !wasConnected || len(changes) > 0 {
 		c.updated.Broadcast()
@@ -108,12 +151,13 @@
 	}
 }
 
-// ApplyWhileDisconnected applies changes that this VM read from another one while it is
-// disconnected from the store. The cache stays disconnected: otherwise two VMs that read
-// from each other would both report that they are connected.
-func (c *Cache[T]) ApplyWhileDisconnected(changes []platform.Change[T], version platform.StoreVersion) {
+// ApplyWhileDisconnected applies changes that this VM read from one that is not its
+// mirror. The cache stays disconnected for the VMs whose mirror this one is, so that the
+// tree of mirrors heals; other disconnected VMs may read from it.
+func (c *Cache[T]) ApplyWhileDisconnected(changes []platform.Change[T], version platform.StoreVersion, path ...ident.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.relayed, c.path = true, path
 	c.apply(changes, version)
 }
 
@@ -121,18 +165,64 @@
 func (c *Cache[T]) MarkDisconnected() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.relayed = false
 	if c.connected {
-		c.connected, c.disconnectedAt = false, time.Now()
+		c.connected, c.disconnectedAt = false, c.time()
 		c.updated.Broadcast()
 	}
 }
 
+// fromStore reports whether the last successful read came from the store.
+func (c *Cache[T]) fromStore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version > 0 && len(c.path) == 0
+}
+
+// relay answers a question of a disconnected VM at once: with all objects if after is 0,
+// and otherwise with the changes after that version.
+func (c *Cache[T]) relay(after platform.StoreVersion) Answer[T] {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.connected && !c.relayed:
+		return Answer[T]{Outcome: Disconnected}
+	case after == 0:
+		return c.allObjects()
+	case after < c.base:
+		return Answer[T]{Outcome: Compacted}
+	}
+	return Answer[T]{Outcome: OK, Version: max(after, c.version), Changes: c.changesAfter(after), Path: c.path}
+}
+
+// allObjects returns an answer with all objects. The lock must be held.
+func (c *Cache[T]) allObjects() Answer[T] {
+	a := Answer[T]{Outcome: OK, Version: c.version, Path: c.path}
+	for name, v := range c.objects {
+		a.Changes = append(a.Changes, platform.Change[T]{Name: name, Value: v})
+	}
+	return a
+}
+
+// changesAfter returns the kept changes after a version. The lock must be held.
+func (c *Cache[T]) changesAfter(version platform.StoreVersion) []platform.Change[T] {
+	var out []platform.Change[T]
+	for _, stored := range c.batches {
+		if stored.version > version {
+			out = append(out, stored.changes...)
+		}
+	}
+	return out
+}
+
 // An Answer is a mirror's answer to a question. With OK it holds all objects or the
 // changes asked for, as of a version.
 type Answer[T any] struct {
 	Outcome Outcome
 	Version platform.StoreVersion
 	Changes []platform.Change[T]
+	// Path holds the VMs through which the mirror read the store, nearest first.
+	Path []ident.VMID
 }
 
 // List returns all objects. If nothing was read yet, it waits for the first listing,
@@ -166,11 +256,7 @@
 		}
 		return Answer[T]{Outcome: Disconnected}, c.updated.Next()
 	}
-	a := Answer[T]{Outcome: OK, Version: c.version}
-	for name, v := range c.objects {
-		a.Changes = append(a.Changes, platform.Change[T]{Name: name, Value: v})
-	}
-	return a, nil
+	return c.allObjects(), nil
 }
 
 // Changes returns the changes after a version as soon as there are any, or none if there
@@ -181,12 +267,12 @@
 	defer timer.Stop()
 	for {
 		a, updated, disconnectedFor := c.changesSince(after)
-		if a.Outcome == Compacted || len(a.Changes) > 0 {
+		if a.Outcome == Compacted || len(a.Changes) > 0 || (a.Outcome == OK && wait <= 0) {
 			return a
 		}
 		var graceEnded <-chan time.Time
 		if a.Outcome == Disconnected {
-			if disconnectedFor >= disconnectGrace {
+			if disconnectedFor >= disconnectGrace || wait <= 0 {
 				return a
 			}
 			graceEnded = time.After(disconnectGrace - disconnectedFor)
@@ -207,18 +293,14 @@
 func (c *Cache[T]) changesSince(after platform.StoreVersion) (Answer[T], <-chan struct{}, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a := Answer[T]{Outcome: OK, Version: max(after, c.version)}
+	a := Answer[T]{Outcome: OK, Version: max(after, c.version), Path: c.path}
 	switch {
 	case !c.connected:
 		a.Outcome = Disconnected
 	case after < c.base:
 		a.Outcome = Compacted
 	default:
-		for _, stored := range c.batches {
-			if stored.version > after {
-				a.Changes = append(a.Changes, stored.changes...)
-			}
-		}
+		a.Changes = c.changesAfter(after)
 	}
-	return a, c.updated.Next(), time.Since(c.disconnectedAt)
+	return a, c.updated.Next(), c.time().Sub(c.disconnectedAt)
 }
--- a/serve/mirror/message.go
+++ b/serve/mirror/message.go
@@ -5,26 +5,30 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/schema"
 )
 
 // QuestionMessage converts a question to its message.
 func QuestionMessage(q Question) *schema.MirrorQuestion {
-	return &schema.MirrorQuestion{Kind: q.Kind, After: uint64(q.After), WaitMs: uint32(q.Wait.Milliseconds()), OwnReading: q.DirectOnly}
+	return &schema.MirrorQuestion{Kind: q.Kind, After: uint64(q.After), WaitMs: uint32(q.Wait.Milliseconds()), OwnReading: q.Disconnected, Disconnected: q.Disconnected}
 }
 
 // QuestionOf converts a message to its question.
 func QuestionOf(m *schema.MirrorQuestion) Question {
 	return Question{
 		Kind: m.GetKind(), After: platform.StoreVersion(m.GetAfter()), Wait: time.Duration(m.GetWaitMs()) * time.Millisecond,
-		DirectOnly: m.GetOwnReading(),
+		Disconnected: m.GetDisconnected(),
 	}
 }
 
 // MarshalAnswer encodes a mirror's answer.
 func MarshalAnswer(a Answer[[]byte]) ([]byte, error) {
 	m := &schema.MirrorAnswer{Outcome: string(a.Outcome), Version: uint64(a.Version)}
+	for _, vm := range a.Path {
+		m.Path = append(m.Path, string(vm))
+	}
 	for _, c := range a.Changes {
 		m.Changes = append(m.Changes, &schema.MirrorChange{Name: c.Name, Value: c.Value, Deleted: c.Deleted})
 	}
@@ -38,6 +42,9 @@
 		return Answer[[]byte]{}, err
 	}
 	a := Answer[[]byte]{Outcome: Outcome(m.Outcome), Version: platform.StoreVersion(m.Version)}
+	for _, vm := range m.Path {
+		a.Path = append(a.Path, ident.VMID(vm))
+	}
 	for _, c := range m.Changes {
 		a.Changes = append(a.Changes, platform.Change[[]byte]{Name: c.Name, Value: c.Value, Deleted: c.Deleted})
 	}
--- a/serve/mirror/mirror_test.go
+++ b/serve/mirror/mirror_test.go
@@ -530,3 +530,35 @@
 	}
 	return out
 }
+
+// TestListingNeverGoesBack checks that a VM that has to list again does not take the
+// listing of a mirror that is behind: it includes objects that were removed since.
+func TestListingNeverGoesBack(t *testing.T) { synctest.Test(t, testListingNeverGoesBack) }
+
+func testListingNeverGoesBack(t *testing.T) {
+	store := newStore()
+	store.set("left", "1")
+	readers, order, transport := newZone(store, 3)
+	ctx := context.Background()
+	for _, r := range readers {
+		if _, err := r.List(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	store.remove("left")
+	// The last VM reads the removal from the store while its mirrors are unreachable.
+	for _, vm := range order[:2] {
+		transport.unreachable[vm] = true
+	}
+	last := readers[2]
+	if _, version, err := last.Changes(ctx, 1, 0); err != nil || version != 2 {
+		t.Fatal(version, err)
+	}
+	clear(transport.unreachable)
+	// The mirrors are no longer excluded.
+	time.Sleep(6 * time.Second)
+	l, err := last.List(ctx)
+	if err != nil || l.Version != 2 || len(l.Items) != 0 {
+		t.Fatalf("listed %v at version %d, %v", l.Items, l.Version, err)
+	}
+}
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"slices"
 	"time"
 
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/serve/clock"
 	"carawaycross.example/carawaycross/serve/watch"
@@ -42,6 +43,8 @@
 	// it reads from, before it answers Disconnected. Without it, all VMs that read
 	// through it would call the store at the same moment.
 	disconnectGrace = 300 * time.Millisecond
+	// maxPath is the most VMs through which a VM reads the store.
+	maxPath = 8
 )
 
 // A Codec encodes and decodes the values of a kind.
@@ -56,9 +59,9 @@
 	// After is the version after which changes are requested, or 0 for all objects.
 	After platform.StoreVersion
 	Wait  time.Duration
-	// DirectOnly requires that the mirror reads the store itself: a mirror that reads
-	// through the asking VM has no newer version.
-	DirectOnly bool
+	// Disconnected states that the asking VM reaches neither the store nor a mirror that
+	// is connected. The answer may then come through any VMs but the asking one.
+	Disconnected bool
 }
 
 // A Transport sends questions to other VMs.
@@ -74,47 +77,85 @@
 	selector  *Selector
 	transport Transport
 	cache     Cache[T]
-	// fromStore reports whether the last successful read came from the store.
-	fromStore atomic.Bool
+	// Now replaces time.Now unless nil. It must be set before the first read.
+	Now func() time.Time
 	// InitialListWait is how long to wait for the first listing of a mirror. It is 0 for
 	// a VM that starts while others already run.
 	InitialListWait time.Duration
+	// Unreadable, if not nil, is called for each object of an answer that cannot be
+	// decoded or encoded.
+	Unreadable func(kind, name string, err error)
 }
 
 // NewReader returns a Reader of a source and of the mirrors that selector selects.
 func NewReader[T any](source watch.Source[T], codec Codec[T], selector *Selector, transport Transport) *Reader[T] {
-	return &Reader[T]{source: source, codec: codec, selector: selector, transport: transport}
+	r := &Reader[T]{source: source, codec: codec, selector: selector, transport: transport}
+	r.cache.now = r.time
+	return r
+}
+
+func (r *Reader[T]) time() time.Time {
+	if r.Now == nil {
+		return time.Now()
+	}
+	return r.Now()
 }
 
 // Kind returns the kind of the objects.
 func (r *Reader[T]) Kind() string { return r.source.Kind() }
 
+// State describes what the reader would answer and whom it would ask at a time, for
+// comparisons in tests.
+func (r *Reader[T]) State(now time.Time) string {
+	return r.cache.state(now) + r.selector.state(now)
+}
+
 // List returns all objects.
 func (r *Reader[T]) List(ctx context.Context) (platform.Listing[T], error) {
-	for _, m := range r.selector.Mirrors(time.Now()) {
-		if a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), Wait: r.InitialListWait}); ok {
-			l := platform.Listing[T]{Items: a.Changes, Version: a.Version}
-			r.cache.SetListing(l)
-			r.fromStore.Store(false)
+	question := Question{Kind: r.Kind(), Wait: r.InitialListWait}
+	for _, m := range r.selector.Mirrors(r.time()) {
+		if l, path, ok := r.askListing(ctx, m, question); ok {
+			r.cache.SetListing(l, path...)
 			return l, nil
 		}
 	}
 	l, err := r.source.List(ctx)
-	if err != nil {
-		r.cache.MarkDisconnected()
-		return l, err
+	if err == nil {
+		r.cache.SetListing(l)
+		return l, nil
+	}
+	r.cache.MarkDisconnected()
+	question = Question{Kind: r.Kind(), Disconnected: true}
+	for _, m := range r.selector.Others(r.time()) {
+		if l, path, ok := r.askListing(ctx, m, question); ok {
+			r.cache.SetListingWhileDisconnected(l, path...)
+			return l, nil
+		}
+	}
+	return l, err
+}
+
+// askListing asks a mirror for all objects. It returns false if the mirror is behind this
+// VM: its objects include some that were removed since.
+func (r *Reader[T]) askListing(ctx context.Context, m Member, q Question) (platform.Listing[T], []ident.VMID, bool) {
+	a, ok := r.ask(ctx, m, q)
+	if !ok {
+		return platform.Listing[T]{}, nil, false
 	}
-	r.cache.SetListing(l)
-	r.fromStore.Store(true)
-	return l, nil
+	if a.Version < r.cache.Version() {
+		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
+		return platform.Listing[T]{}, nil, false
+	}
+	present := slices.DeleteFunc(a.Changes, func(c platform.Change[T]) bool { return c.Deleted })
+	return platform.Listing[T]{Items: present, Version: a.Version}, a.Path, true
 }
 
 // Changes waits for changes after a version. It returns none if there are none within
 // wait.
 func (r *Reader[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[T], platform.StoreVersion, error) {
-	for _, m := range r.selector.Mirrors(time.Now()) {
+	for _, m := range r.selector.Mirrors(r.time()) {
 		a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait)})
-		if !ok && !r.fromStore.Load() {
+		if !ok && !r.cache.fromStore() {
 			// Until another mirror or the store answers, this VM is disconnected too.
 			// The remaining calls do not wait, so that the VMs that read through this
 			// one soon receive that state.
@@ -125,10 +166,9 @@
 			continue
 		}
 		if a.Outcome == Compacted {
-			return nil, after, &platform.Error{Op: "mirror", Kind: platform.Compacted, Err: errHistoryDropped}
+			return nil, after, compacted()
 		}
-		r.cache.Apply(a.Changes, a.Version)
-		r.fromStore.Store(false)
+		r.cache.Apply(a.Changes, a.Version, a.Path...)
 		return a.Changes, a.Version, nil
 	}
 	readsStore := r.selector.ReadsStore()
@@ -138,12 +178,14 @@
 	changes, version, err := r.source.Changes(ctx, after, wait)
 	if err == nil {
 		r.cache.Apply(changes, version)
-		r.fromStore.Store(true)
 		return changes, version, nil
 	}
 	r.cache.MarkDisconnected()
-	if changes, version, ok := r.askSuccessors(ctx, after, wait); ok {
-		return changes, version, nil
+	if a, ok := r.askOthers(ctx, after); ok {
+		if a.Outcome == Compacted {
+			return nil, after, compacted()
+		}
+		return a.Changes, a.Version, nil
 	}
 	if !readsStore && isSilent(err) {
 		clock.Sleep(ctx, reconnectDelay)
@@ -151,17 +193,25 @@
 	return nil, after, err
 }
 
-// askSuccessors asks the VMs after this one in the order, which read the store
-// themselves while this one is disconnected.
-func (r *Reader[T]) askSuccessors(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[T], platform.StoreVersion, bool) {
-	for _, m := range r.selector.Successors(time.Now()) {
-		a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait), DirectOnly: true})
-		if ok && a.Outcome == OK {
-			r.cache.ApplyWhileDisconnected(a.Changes, a.Version)
-			return a.Changes, a.Version, true
+// askOthers asks VMs that are not mirrors of this one. They answer at once, so that this
+// VM soon tries its mirrors and the store again.
+func (r *Reader[T]) askOthers(ctx context.Context, after platform.StoreVersion) (Answer[T], bool) {
+	for _, m := range r.selector.Others(r.time()) {
+		a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Disconnected: true})
+		if !ok {
+			continue
 		}
+		if a.Outcome == OK {
+			r.cache.ApplyWhileDisconnected(a.Changes, a.Version, a.Path...)
+		}
+		return a, true
 	}
-	return nil, after, false
+	return Answer[T]{}, false
+}
+
+// compacted returns the error after which the caller lists all objects again.
+func compacted() error {
+	return &platform.Error{Op: "mirror", Kind: platform.Compacted, Err: errHistoryDropped}
 }
 
 var errHistoryDropped = errors.New("the mirror dropped the history asked for")
@@ -183,20 +233,22 @@
 	defer cancel()
 	received, err := r.transport.Ask(ctx, m, q)
 	if err != nil {
-		r.selector.Exclude(time.Now().Add(failedExclusion), m.VM)
+		r.selector.Exclude(r.time().Add(failedExclusion), m.VM)
 		return Answer[T]{}, false
 	}
-	if received.Outcome == Disconnected {
-		r.selector.Exclude(time.Now().Add(disconnectedExclusion), m.VM)
+	path := append([]ident.VMID{m.VM}, received.Path...)
+	if received.Outcome == Disconnected || len(path) > maxPath || !r.selector.accepts(r.time(), received.Path) {
+		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
 		return Answer[T]{}, false
 	}
-	a := Answer[T]{Outcome: received.Outcome, Version: received.Version, Changes: make([]platform.Change[T], 0, len(received.Changes))}
+	a := Answer[T]{Outcome: received.Outcome, Version: received.Version, Path: path, Changes: make([]platform.Change[T], 0, len(received.Changes))}
 	for _, c := range received.Changes {
 		decoded := platform.Change[T]{Name: c.Name, Deleted: c.Deleted}
 		if !c.Deleted {
 			if decoded.Value, err = r.codec.Unmarshal(c.Value); err != nil {
-				r.selector.Exclude(time.Now().Add(failedExclusion), m.VM)
-				return Answer[T]{}, false
+				// One object that cannot be decoded must not hide the others.
+				decoded.Deleted = true
+				r.reportUnreadable(c.Name, err)
 			}
 		}
 		a.Changes = append(a.Changes, decoded)
@@ -204,27 +256,33 @@
 	return a, true
 }
 
+func (r *Reader[T]) reportUnreadable(name string, err error) {
+	if r.Unreadable != nil {
+		r.Unreadable(r.Kind(), name, err)
+	}
+}
+
 // Answer answers a question of another VM.
 func (r *Reader[T]) Answer(ctx context.Context, q Question) Answer[[]byte] {
-	if q.DirectOnly && !r.fromStore.Load() {
-		return Answer[[]byte]{Outcome: Disconnected}
-	}
 	wait := min(q.Wait, maxMirrorWait)
-	a := Answer[T]{}
-	if q.After > 0 {
+	var a Answer[T]
+	switch {
+	case q.Disconnected:
+		a = r.cache.relay(q.After)
+	case q.After > 0:
 		a = r.cache.Changes(ctx, q.After, wait)
-	} else {
+	default:
 		a = r.cache.List(ctx, wait)
 	}
-	out := Answer[[]byte]{Outcome: a.Outcome, Version: a.Version}
+	out := Answer[[]byte]{Outcome: a.Outcome, Version: a.Version, Path: a.Path}
 	for _, c := range a.Changes {
 		encoded := platform.Change[[]byte]{Name: c.Name, Deleted: c.Deleted}
 		if !c.Deleted {
 			value, err := r.codec.Marshal(c.Value)
 			if err != nil {
-				return Answer[[]byte]{Outcome: Disconnected}
+				r.reportUnreadable(c.Name, err)
 			}
-			encoded.Value = value
+			encoded.Value, encoded.Deleted = value, err != nil
 		}
 		out.Changes = append(out.Changes, encoded)
 	}
--- a/serve/mirror/selector.go
+++ b/serve/mirror/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -43,16 +44,17 @@
 	zoneOrder, regionOrder []Member
 	// ready is closed by the first call of SetMembers.
 	ready chan struct{}
-	// excludedUntil holds the time until which a mirror is not selected.
-	excludedUntil map[ident.VMID]time.Time
+	// failedUntil and disconnectedUntil hold the time until which a VM is not selected as a
+	// mirror, because it did not answer or because it is disconnected.
+	failedUntil, disconnectedUntil map[ident.VMID]time.Time
 }
 
 // NewSelector returns a Selector without members for the VM self; region holds the zones
 // of its region.
 func NewSelector(self Member, region []ident.ZoneID) *Selector {
 	return &Selector{
-		self: self, region: region, members: map[ident.VMID]Member{}, excludedUntil: map[ident.VMID]time.Time{},
-		ready: make(chan struct{}),
+		self: self, region: region, members: map[ident.VMID]Member{}, failedUntil: map[ident.VMID]time.Time{},
+		disconnectedUntil: map[ident.VMID]time.Time{}, ready: make(chan struct{}),
 	}
 }
 
@@ -121,16 +123,31 @@
 	return s.candidates(now, s.regionOrder[:s.countBefore(s.regionOrder)])
 }
 
-// Successors returns members of the region that follow this VM in the order, to ask if
-// neither the mirrors nor the store can be reached.
-func (s *Selector) Successors(now time.Time) []Member {
+// Others returns members of the region to ask if neither the mirrors nor the store can be
+// reached: those that follow this VM in the order, then those that precede it, so that
+// the members at the head of the order are not asked by all. They alternate between the
+// availability zones, because a VM that is cut off from one VM of a zone is often cut off
+// from all of them. A VM that is disconnected as a mirror may still have a path.
+func (s *Selector) Others(now time.Time) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	successors := s.regionOrder[s.countBefore(s.regionOrder):]
-	if len(successors) > 0 && successors[0].VM == s.self.VM {
-		successors = successors[1:]
+	before := s.countBefore(s.regionOrder)
+	rotated := append(slices.Clone(s.regionOrder[before:]), s.regionOrder[:before]...)
+	var out []Member
+	for len(out) < maxCandidates {
+		taken := len(out)
+		zones := map[ident.ZoneID]bool{}
+		for _, m := range rotated {
+			if m.VM != s.self.VM && !zones[m.Zone] && len(out) < maxCandidates && !now.Before(s.failedUntil[m.VM]) && !slices.Contains(out, m) {
+				zones[m.Zone] = true
+				out = append(out, m)
+			}
+		}
+		if len(out) == taken {
+			break
+		}
 	}
-	return s.candidates(now, successors)
+	return out
 }
 
 // maxCandidates limits the members that are asked one after the other.
@@ -141,7 +158,8 @@
 func (s *Selector) candidates(now time.Time, members []Member) []Member {
 	var out []Member
 	for _, m := range members {
-		if len(out) < maxCandidates && !now.Before(s.excludedUntil[m.VM]) && !slices.Contains(out, m) {
+		excluded := now.Before(s.failedUntil[m.VM]) || now.Before(s.disconnectedUntil[m.VM])
+		if len(out) < maxCandidates && !excluded && !slices.Contains(out, m) {
 			out = append(out, m)
 		}
 	}
@@ -178,9 +196,45 @@
 	return out
 }
 
-// Exclude excludes a mirror from the selection until the given time.
+// accepts reports whether this VM may read through the VMs of a path: not through itself,
+// and not through one that is disconnected, since the path then is out of date.
+func (s *Selector) accepts(now time.Time, path []ident.VMID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !slices.ContainsFunc(path, func(vm ident.VMID) bool {
+		return vm == s.self.VM || now.Before(s.disconnectedUntil[vm])
+	})
+}
+
+// Exclude excludes a VM that did not answer until the given time.
 func (s *Selector) Exclude(until time.Time, vm ident.VMID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.excludedUntil[vm] = until
+	s.failedUntil[vm] = until
+}
+
+// ExcludeDisconnected excludes a mirror that is disconnected, and all paths through it,
+// until the given time.
+func (s *Selector) ExcludeDisconnected(until time.Time, vm ident.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.disconnectedUntil[vm] = until
+}
+
+// state describes the exclusions that have not ended.
+func (s *Selector) state(now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprint(timeLeft(now, s.failedUntil), timeLeft(now, s.disconnectedUntil))
+}
+
+// timeLeft returns the entries that lie after now, as the time until then.
+func timeLeft(now time.Time, until map[ident.VMID]time.Time) map[ident.VMID]time.Duration {
+	left := map[ident.VMID]time.Duration{}
+	for vm, at := range until {
+		if now.Before(at) {
+			left[vm] = at.Sub(now)
+		}
+	}
+	return left
 }
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -76,6 +76,8 @@
 		r.replicas.Kind(): r.replicas.Answer, r.configurations.Kind(): r.configurations.Answer,
 		r.zonesOut.Kind(): r.zonesOut.Answer, r.presets.Kind(): r.presets.Answer,
 	}
+	r.replicas.Unreadable, r.configurations.Unreadable = v.logUnreadable, v.logUnreadable
+	r.zonesOut.Unreadable, r.presets.Unreadable = v.logUnreadable, v.logUnreadable
 	if d.FirstStart {
 		r.replicas.InitialListWait, r.configurations.InitialListWait = mirror.InitialListWait, mirror.InitialListWait
 		r.zonesOut.InitialListWait, r.presets.InitialListWait = mirror.InitialListWait, mirror.InitialListWait
@@ -91,6 +93,10 @@
 	return nil
 }
 
+func (v *VM) logUnreadable(kind, name string, err error) {
+	v.log.Warn().Str("kind", kind).Str("name", name).Err(err).Msg("mirrored-entry-not-read")
+}
+
 // guarded returns a source whose calls are cancelled when the prober detects that the
 // store no longer responds.
 func guarded[T any](source watch.Probeable[T], prober *watch.Prober) watch.Source[T] {
--- a/serve/watch/source.go
+++ b/serve/watch/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -57,36 +58,33 @@
 // done.
 func Follow[T any](ctx context.Context, source Source[T], handler Handler[T]) {
 	backoff := platform.Backoff{MaxDelay: maxRetryDelay}
-	p := position{}
+	f := Follower[T]{Source: source, Handler: handler}
 	for ctx.Err() == nil {
-		err := step(ctx, source, handler, &p)
-		if err == nil {
-			backoff.Reset()
-			continue
-		}
-		p.caughtUp = false
+		changed, err := f.Step(ctx)
 		var e *platform.Error
-		if errors.As(err, &e) && e.Kind == platform.Compacted {
-			// The store dropped the history but holds the objects: list them again.
-			p.listed = false
+		var silent *Error
+		switch {
+		case ctx.Err() != nil:
+		case err == nil:
+			backoff.Reset()
+			if changed {
+				clock.Sleep(ctx, coalesceDelay)
+			}
+		case errors.As(err, &e) && e.Kind == platform.Compacted:
 			clock.Sleep(ctx, coalesceDelay)
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		handler.Failed(ctx, source.Kind(), err)
-		var w *Error
-		if errors.As(err, &w) {
+		case errors.As(err, &silent):
 			// No delay is needed: if the store is still silent, the next call waits for it.
-			continue
+		default:
+			clock.Sleep(ctx, backoff.Next(rand.Float64()))
 		}
-		clock.Sleep(ctx, backoff.Next(rand.Float64()))
 	}
 }
 
-// A position is the point up to which a source was followed.
-type position struct {
+// A Follower follows a source one call at a time. Source and Handler must be set.
+type Follower[T any] struct {
+	Source  Source[T]
+	Handler Handler[T]
+	// version is the point up to which the source was followed.
 	version platform.StoreVersion
 	listed  bool
 	// caughtUp is false from a failed call until one succeeds. Until then calls do not
@@ -94,29 +92,60 @@
 	caughtUp bool
 }
 
-// step lists the source or waits for changes once, and updates the position.
-func step[T any](ctx context.Context, source Source[T], handler Handler[T], p *position) error {
-	if !p.listed {
-		l, err := source.List(ctx)
-		if err != nil {
-			return err
-		}
-		handler.Listed(ctx, l.Items)
-		*p = position{version: l.Version, listed: true, caughtUp: true}
-		return nil
+// Version returns the version up to which the source was followed; 0 before the first
+// listing.
+func (f *Follower[T]) Version() platform.StoreVersion { return f.version }
+
+// State describes the position, for comparisons in tests.
+func (f *Follower[T]) State() string {
+	return fmt.Sprint(f.version, f.listed, f.caughtUp)
+}
+
+// Step lists the source or waits for changes once, passes the result to the handler and
+// reports whether there were changes.
+func (f *Follower[T]) Step(ctx context.Context) (changed bool, err error) {
+	if !f.listed {
+		err = f.list(ctx)
+	} else {
+		changed, err = f.awaitChanges(ctx)
 	}
-	wait := watchWait
-	if !p.caughtUp {
-		wait = 0
+	if err == nil {
+		f.caughtUp = true
+		return changed, nil
+	}
+	f.caughtUp = false
+	var e *platform.Error
+	if errors.As(err, &e) && e.Kind == platform.Compacted {
+		// The store dropped the history but holds the objects: list them again.
+		f.listed = false
+		return false, err
 	}
-	changes, version, err := source.Changes(ctx, p.version, wait)
+	if ctx.Err() == nil {
+		f.Handler.Failed(ctx, f.Source.Kind(), err)
+	}
+	return false, err
+}
+
+func (f *Follower[T]) list(ctx context.Context) error {
+	l, err := f.Source.List(ctx)
 	if err != nil {
 		return err
 	}
-	handler.Changed(ctx, changes)
-	p.version, p.caughtUp = version, true
-	if len(changes) > 0 {
-		clock.Sleep(ctx, coalesceDelay)
-	}
+	f.Handler.Listed(ctx, l.Items)
+	f.version, f.listed = l.Version, true
 	return nil
 }
+
+func (f *Follower[T]) awaitChanges(ctx context.Context) (changed bool, err error) {
+	wait := watchWait
+	if !f.caughtUp {
+		wait = 0
+	}
+	changes, version, err := f.Source.Changes(ctx, f.version, wait)
+	if err != nil {
+		return false, err
+	}
+	f.Handler.Changed(ctx, changes)
+	f.version = version
+	return len(changes) > 0, nil
+}
