Take a whole zone that is cut off out of rotation at once

The load balancer sends callers to other zones only once all VMs of the zone are out, so nearly the whole cut was lost. Slow replicas got a quarter of the attempts at shards whose good replica has a queue: their latency, not measured since, decayed below that of the good one.

Change: the first VM that is cut off notifies others of its zone, which check their reach at once and need no evidence of their own. The excess latency of a replica without recent results decays to that of the best one, not below it.

--- a/core/node/stranded.go
+++ b/core/node/stranded.go
@@ -25,6 +25,12 @@
 	return ended >= minUnservedSample && float64(c.recent.unserved.Sum(now)) >= unservedThreshold*float64(ended)
 }
 
+// MostlyServed reports whether enough requests ended in the last second, and most of them
+// were served.
+func (c *Core) MostlyServed(now ident.Instant) bool {
+	return c.recent.ended.Sum(now) >= minUnservedSample && !c.MostlyUnserved(now)
+}
+
 // SetCutOff sets whether the VM is cut off from other availability zones and directs its
 // callers to VMs there.
 func (c *Core) SetCutOff(cutOff bool) { c.cutOff = cutOff }
--- a/core/replica/pace.go
+++ b/core/replica/pace.go
@@ -48,6 +48,13 @@
 	return p.excessLatency * math.Exp(-age/float64(latencyDecay)), p.failureRate * math.Exp(-age/float64(failureDecay))
 }
 
+// decayedTo returns the excess latency, decayed from the last update to now towards a
+// floor.
+func (p *performance) decayedTo(now ident.Instant, floor float64) float64 {
+	age := float64(max(now.Sub(p.updated), 0))
+	return floor + (p.excessLatency-floor)*math.Exp(-age/float64(latencyDecay))
+}
+
 // add updates both averages with one result.
 func (p *performance) add(now ident.Instant, excessLatency, failureRate float64) {
 	p.excessLatency, p.failureRate = p.decayed(now)
--- a/core/replica/soonest.go
+++ b/core/replica/soonest.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Soonest picks the replica with the least expected time to a reply. The estimate
 // uses the recorded performance, the load, and by how much the oldest attempt in
@@ -31,11 +34,12 @@
 	var best *State
 	var leastTime float64
 	ties := 0
+	leastExcess := in.leastExcess()
 	for _, r := range in.Shard.Replicas {
 		if !in.Eligible(r) {
 			continue
 		}
-		expected := r.expectedTime(in)
+		expected := r.expectedTime(in, leastExcess)
 		switch {
 		case best == nil || expected < leastTime:
 			best, leastTime, ties = r, expected, 1
@@ -49,14 +53,31 @@
 	return best
 }
 
+// leastExcess returns the least excess latency of the eligible replicas, as their last
+// results show it.
+func (in *Selection) leastExcess() float64 {
+	least := math.Inf(1)
+	for _, r := range in.Shard.Replicas {
+		if in.Eligible(r) {
+			least = min(least, r.performance.excessLatency)
+		}
+	}
+	return least
+}
+
 // expectedTime returns the expected time to a reply, in nanoseconds, including the
-// cost of failures.
-func (s *State) expectedTime(in *Selection) float64 {
+// cost of failures. The excess latency of a replica without recent results decays to
+// that of the best one, not below it: a slow replica must not appear better than a
+// good one that has a queue.
+func (s *State) expectedTime(in *Selection, leastExcess float64) float64 {
 	median := in.MedianLatency
 	if median == 0 {
 		median = assumedMedian
 	}
 	excessLatency, failureRate := s.performance.decayed(in.Now)
+	if floor := max(leastExcess, 0); s.performance.excessLatency > floor {
+		excessLatency = s.performance.decayedTo(in.Now, floor)
+	}
 	failureRate = min(failureRate, maxFailureRate)
 	load := 1 + float64(s.InFlight)/float64(max(s.Shares.Slots, 1))
 	t := float64(median) * max(1+excessLatency, minRelativeLatency) * load
--- a/serve/mirror/selector.go
+++ b/serve/mirror/selector.go
@@ -196,6 +196,22 @@
 	return out
 }
 
+// InOwnZone returns up to n other VMs of this VM's availability zone: the next ones in the
+// order, so that the VMs of a zone choose different ones.
+func (s *Selector) InOwnZone(n int) []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.countBefore(s.zoneOrder)
+	var out []Member
+	for i := range s.zoneOrder {
+		m := s.zoneOrder[(before+i)%len(s.zoneOrder)]
+		if m.VM != s.self.VM && len(out) < n {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // accepts reports whether this VM may read through the VMs of a path: not through itself,
 // and not through one that is disconnected, since the path then is out of date.
 func (s *Selector) accepts(now time.Time, path []ident.VMID) bool {
--- a/serve/traffic/loop.go
+++ b/serve/traffic/loop.go
@@ -119,8 +119,9 @@
 	workers     int
 	droppedNews atomic.Uint64
 	inFlight    atomic.Int64
-	// mostlyUnserved is the result of Core.MostlyUnserved after the latest iteration.
-	mostlyUnserved atomic.Bool
+	// mostlyUnserved and mostlyServed are the results of the methods of Core after the
+	// latest iteration.
+	mostlyUnserved, mostlyServed atomic.Bool
 }
 
 // New returns a Loop that is not started. It subscribes to config.Views.
@@ -148,6 +149,10 @@
 // MostlyUnserved reports whether most requests of the last second were not served.
 func (l *Loop) MostlyUnserved() bool { return l.mostlyUnserved.Load() }
 
+// MostlyServed reports whether enough requests ended in the last second to tell that
+// most of them were served.
+func (l *Loop) MostlyServed() bool { return l.mostlyServed.Load() }
+
 // SetCutOff sets whether the VM is cut off from other availability zones.
 func (l *Loop) SetCutOff(cutOff bool) { l.post(event{kind: cutOffChanged, cutOff: cutOff}) }
 
@@ -261,6 +266,7 @@
 		l.performActions(workerCtx)
 		l.inFlight.Store(int64(l.config.Core.InFlight()))
 		l.mostlyUnserved.Store(l.config.Core.MostlyUnserved(l.config.Clock.Now()))
+		l.mostlyServed.Store(l.config.Core.MostlyServed(l.config.Clock.Now()))
 		timer.Reset(l.config.Clock.Until(l.config.Core.Wake()))
 	}
 }
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -110,6 +110,8 @@
 	// cutOff is true while this VM's zone is cut off and callers are directed to VMs of
 	// other zones.
 	cutOff atomic.Bool
+	// cutOffNotices receives a value when another VM of the zone is cut off.
+	cutOffNotices chan struct{}
 	// completeAnswers counts the complete answers within their goal. It is only accessed
 	// by the goroutine of the traffic loop.
 	completeAnswers int
@@ -128,7 +130,7 @@
 	}
 	v := &VM{
 		settings: s, log: o.Log, clock: clock.New(), views: &view.Publisher{}, upstream: &upstream.Client{},
-		gauges: &gauge.Set{}, store: o.Store, group: task.NewGroup(maxTasks), discovery: o.Discovery,
+		gauges: &gauge.Set{}, store: o.Store, group: task.NewGroup(maxTasks), discovery: o.Discovery, cutOffNotices: make(chan struct{}, 1),
 	}
 	if o.Discovery != nil {
 		v.upstream = o.Discovery.UpstreamClient
@@ -385,10 +387,14 @@
 // mirror question.
 func (h peerHandler) Call(ctx context.Context, from ident.VMID, body []byte) []byte {
 	var m schema.PeerCall
-	if err := proto.Unmarshal(body, &m); err != nil || (m.Booking == nil && m.Mirror == nil) {
+	if err := proto.Unmarshal(body, &m); err != nil || (m.Booking == nil && m.Mirror == nil && m.CutOff == nil) {
 		h.vm.log.Warn().Str("from", string(from)).Msg("peer-call-refused")
 		return nil
 	}
+	if m.CutOff != nil {
+		h.vm.receiveCutOffNotice(m.CutOff)
+		return nil
+	}
 	if m.Mirror != nil {
 		return h.vm.answerQuestion(ctx, m.Mirror)
 	}
