--- a/carawaycross.go
+++ b/carawaycross.go
@@ -98,7 +98,7 @@
 		region = append(region, ident.ZoneID(zone))
 	}
 	a.options.Store = store
-	memory := &body.Budget{Limit: boot.Settings.ReplyMemory()}
+	memory := body.NewBudget(boot.Settings.ReplyMemory())
 	a.options.Discovery = &vm.Discovery{
 		UpstreamClient: &platform.Sender{Memory: memory}, ReplyMemory: memory, Registry: store, Presets: presets, ApplyWithin: boot.ApplyWithin, FirstStart: boot.Bootstrap, Region: region,
 		Replicas: replicas, Configurations: configurations, ZonesOut: zones,
--- a/cmd/carawaycross/entry.go
+++ b/cmd/carawaycross/entry.go
@@ -14,6 +14,7 @@
 	"carawaycross.example/carawaycross/core/node"
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/serve/eventlog"
+	"carawaycross.example/carawaycross/serve/vm"
 )
 
 // entryCommand implements the subcommand that runs an entry VM on the users' platform.
@@ -64,26 +65,28 @@
 	default:
 		return usageError(fmt.Errorf("--policies: found %q, allowed: product, plain", c.policies))
 	}
-	vm, err := carawaycross.Enter(boot, options...)
+	entry, err := carawaycross.Enter(boot, options...)
 	if err != nil {
 		log.Error().Err(err).Msg("vm-not-started")
 		return err
 	}
-	checkOnHangup(ctx, log, path, hangups)
-	return vm.Stop(context.WithoutCancel(ctx))
+	reloadOnHangup(ctx, log, path, hangups, entry)
+	return entry.Stop(context.WithoutCancel(ctx))
 }
 
-// checkOnHangup reads and checks the settings file at each SIGHUP and logs the result,
-// until the context is done. The running VM keeps its settings.
-func checkOnHangup(ctx context.Context, log zerolog.Logger, path string, hangups <-chan os.Signal) {
+// reloadOnHangup reads and checks the settings file at each SIGHUP and puts it into force,
+// until the context is done. The VM keeps its settings if the file has an error.
+func reloadOnHangup(ctx context.Context, log zerolog.Logger, path string, hangups <-chan os.Signal, v *vm.VM) {
 	for {
 		select {
 		case <-hangups:
-			if _, err := platform.LoadBoot(path); err != nil {
+			boot, err := platform.LoadBoot(path)
+			if err != nil {
 				log.Error().Err(err).Msg("settings-not-reloaded")
 				continue
 			}
-			log.Info().Str("path", path).Msg("settings-reloaded")
+			restart := v.Reload(ctx, boot.Settings)
+			log.Info().Str("path", path).Strs("at-next-start", restart).Msg("settings-reloaded")
 		case <-ctx.Done():
 			return
 		}
--- a/core/control/discovery.go
+++ b/core/control/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"carawaycross.example/carawaycross/core/catalogue"
 	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/retry"
 )
 
 // RoutesRead processes the routes that were read from the store and reports whether
@@ -38,5 +39,12 @@
 	c.processChanges(now)
 }
 
+// SetQuotaLimits replaces the limits of the extra attempts.
+func (c *Core) SetQuotaLimits(now ident.Instant, limits retry.QuotaLimits) {
+	c.viewStale = c.viewStale || limits != c.config.QuotaLimits
+	c.config.QuotaLimits = limits
+	c.processChanges(now)
+}
+
 // RoutesVersion returns the version of the routes in force, or 0 without routes.
 func (c *Core) RoutesVersion() ident.RoutesVersion { return c.catalogue.Version() }
--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -37,17 +37,28 @@
 // A Budget bounds the bytes that a process holds in bodies. The zero value has no
 // bound. Its methods may be called from several goroutines.
 type Budget struct {
-	// Limit is the bound; 0 means none. It must be set before the first use.
-	Limit ident.Bytes
+	// limit is the bound; 0 means none.
+	limit atomic.Int64
 	used  atomic.Int64
 }
 
+// NewBudget returns a Budget with a bound.
+func NewBudget(limit ident.Bytes) *Budget {
+	b := &Budget{}
+	b.SetLimit(limit)
+	return b
+}
+
+// SetLimit replaces the bound. Bytes that are reserved already stay reserved.
+func (b *Budget) SetLimit(limit ident.Bytes) { b.limit.Store(int64(limit)) }
+
 // Used returns the number of reserved bytes.
 func (b *Budget) Used() ident.Bytes { return ident.Bytes(b.used.Load()) }
 
 // reserve reserves n bytes, or none and returns false if they exceed the limit.
 func (b *Budget) reserve(n ident.Bytes) bool {
-	if used := b.used.Add(int64(n)); b.Limit > 0 && used > int64(b.Limit) {
+	limit := b.limit.Load()
+	if used := b.used.Add(int64(n)); limit > 0 && used > limit {
 		b.used.Add(-int64(n))
 		return false
 	}
@@ -84,7 +95,7 @@
 				return text, reserved, &Error{"read", TooLong, limit}
 			}
 			if !budget.reserve(size - reserved) {
-				return text, reserved, &Error{"read", OverBudget, budget.Limit}
+				return text, reserved, &Error{"read", OverBudget, ident.Bytes(budget.limit.Load())}
 			}
 			reserved = size
 			text = append(make([]byte, 0, size), text...)
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -103,6 +103,8 @@
 	// discovery and mirrors are nil if the settings hold the catalogue.
 	discovery *Discovery
 	mirrors   *mirrors
+	// stopTimes are those of the newest settings.
+	stopTimes atomic.Pointer[stopTimes]
 	// entryVersion is the version of this VM's entry in the list of VMs; 0 if none.
 	entryVersion atomic.Uint64
 	// handling counts the HTTP requests that are being handled.
@@ -132,6 +134,7 @@
 		settings: s, log: o.Log, clock: clock.New(), views: &view.Publisher{}, upstream: &upstream.Client{},
 		gauges: &gauge.Set{}, store: o.Store, group: task.NewGroup(maxTasks), discovery: o.Discovery, cutOffNotices: make(chan struct{}, 1),
 	}
+	v.stopTimes.Store(stopTimesOf(s))
 	if o.Discovery != nil {
 		v.upstream = o.Discovery.UpstreamClient
 	}
@@ -326,7 +329,8 @@
 // Stop shuts the VM down gracefully: the VM reports that it is not ready, answers the
 // requests it has accepted, for at most the stop-within of the settings, and closes.
 func (v *VM) Stop(ctx context.Context) error {
-	within := v.settings.Message.Vm.StopWithin.AsDuration()
+	times := v.stopTimes.Load()
+	within := times.within
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	v.log.Info().Int("queries", v.traffic.InFlight()).Msg("vm-stopping")
@@ -336,7 +340,7 @@
 	margin := min(answerMargin, time.Duration(answerMarginFraction*float64(within)))
 	lastAnswers := time.AfterFunc(within-margin, v.traffic.Stop)
 	defer lastAnswers.Stop()
-	clock.Sleep(ctx, v.settings.Message.Vm.LeaveNotice.AsDuration())
+	clock.Sleep(ctx, times.leaveNotice)
 	var err error
 	for _, s := range v.servers {
 		err = errors.Join(err, v.shutDown(ctx, s))
