mirror: wait for changes at the VMs that are asked without being a mirror

Besides, each failed read took the mark from a VM that others read through.

Change: such a question waits for a change up to a second, the mark goes only when no VM could be read, and the store is tried every 3 s meanwhile. Others takes the first VM of each zone by a sort.

--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -157,21 +157,34 @@
 func (c *Cache[T]) ApplyWhileDisconnected(changes []platform.Change[T], version platform.StoreVersion, path ...ident.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	changed := !c.relayed || len(changes) > 0
 	c.relayed, c.path = true, path
 	c.apply(changes, version)
+	if changed {
+		c.updated.Broadcast()
+	}
 }
 
-// MarkDisconnected records that a read failed.
+// MarkDisconnected records that neither a mirror nor the store could be read.
 func (c *Cache[T]) MarkDisconnected() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.relayed = false
 	if c.connected {
 		c.connected, c.disconnectedAt = false, c.time()
 		c.updated.Broadcast()
 	}
 }
 
+// MarkUnreachable records that no other VM could be read from either.
+func (c *Cache[T]) MarkUnreachable() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.relayed {
+		c.relayed = false
+		c.updated.Broadcast()
+	}
+}
+
 // fromStore reports whether the last successful read came from the store.
 func (c *Cache[T]) fromStore() bool {
 	c.mu.Lock()
@@ -179,20 +192,49 @@
 	return c.version > 0 && len(c.path) == 0
 }
 
-// relay answers a question of a disconnected VM at once: with all objects if after is 0,
-// and otherwise with the changes after that version.
-func (c *Cache[T]) relay(after platform.StoreVersion) Answer[T] {
+// isRelayed reports whether this VM reads through one that is not its mirror.
+func (c *Cache[T]) isRelayed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relayed
+}
+
+// relay answers a question of a disconnected VM: with all objects if after is 0, and
+// otherwise with the changes after that version as soon as there are any, or none if there
+// are none within wait.
+func (c *Cache[T]) relay(ctx context.Context, after platform.StoreVersion, wait time.Duration) Answer[T] {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		a, updated := c.relayNow(after)
+		if a.Outcome != OK || after == 0 || len(a.Changes) > 0 || wait <= 0 {
+			return a
+		}
+		select {
+		case <-updated:
+		case <-timer.C:
+			return a
+		case <-ctx.Done():
+			return a
+		}
+	}
+}
+
+// relayNow is relay without a wait. It also returns a channel that is closed at the next
+// update.
+func (c *Cache[T]) relayNow(after platform.StoreVersion) (Answer[T], <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	updated := c.updated.Next()
 	switch {
 	case !c.connected && !c.relayed:
-		return Answer[T]{Outcome: Disconnected}
+		return Answer[T]{Outcome: Disconnected}, updated
 	case after == 0:
-		return c.allObjects()
+		return c.allObjects(), updated
 	case after < c.base:
-		return Answer[T]{Outcome: Compacted}
+		return Answer[T]{Outcome: Compacted}, updated
 	}
-	return Answer[T]{Outcome: OK, Version: max(after, c.version), Changes: c.changesAfter(after), Path: c.path}
+	return Answer[T]{Outcome: OK, Version: max(after, c.version), Changes: c.changesAfter(after), Path: c.path}, updated
 }
 
 // allObjects returns an answer with all objects. The lock must be held.
--- a/serve/mirror/mirror_test.go
+++ b/serve/mirror/mirror_test.go
@@ -562,3 +562,21 @@
 		t.Fatalf("listed %v at version %d, %v", l.Items, l.Version, err)
 	}
 }
+
+// TestQuestionOfADisconnectedVMWaits checks that a VM that reads from one that is not its
+// mirror does not ask, and call the store, in a tight loop.
+func TestQuestionOfADisconnectedVMWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		store.set("a", "1")
+		readers, _, _ := newZone(store, 2)
+		if _, err := readers[0].List(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		a := readers[0].Answer(context.Background(), mirror.Question{Kind: "things", After: 1, Wait: time.Second, Disconnected: true})
+		if a.Outcome != mirror.OK || time.Since(began) != time.Second {
+			t.Fatalf("%v after %v", a, time.Since(began))
+		}
+	})
+}
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -43,6 +43,9 @@
 	// it reads from, before it answers Disconnected. Without it, all VMs that read
 	// through it would call the store at the same moment.
 	disconnectGrace = 300 * time.Millisecond
+	// storeRetryInterval is the time between two calls to the store of a VM that reads
+	// through others because the store does not serve it.
+	storeRetryInterval = 3 * time.Second
 	// maxPath is the most VMs through which a VM reads the store.
 	maxPath = 8
 )
@@ -77,6 +80,9 @@
 	selector  *Selector
 	transport Transport
 	cache     Cache[T]
+	// storeFailedAt is when the last call to the store failed. It is only accessed by List
+	// and Changes, which are called one at a time.
+	storeFailedAt time.Time
 	// Now replaces time.Now unless nil. It must be set before the first read.
 	Now func() time.Time
 	// InitialListWait is how long to wait for the first listing of a mirror. It is 0 for
@@ -132,6 +138,7 @@
 			return l, nil
 		}
 	}
+	r.cache.MarkUnreachable()
 	return l, err
 }
 
@@ -152,7 +159,7 @@
 
 // Changes waits for changes after a version. It returns none if there are none within
 // wait.
-func (r *Reader[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[T], platform.StoreVersion, error) {
+func (r *Reader[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) (changes []platform.Change[T], version platform.StoreVersion, err error) {
 	for _, m := range r.selector.Mirrors(r.time()) {
 		a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait)})
 		if !ok && !r.cache.fromStore() {
@@ -171,33 +178,46 @@
 		r.cache.Apply(a.Changes, a.Version, a.Path...)
 		return a.Changes, a.Version, nil
 	}
-	readsStore := r.selector.ReadsStore()
-	if !readsStore {
-		wait = min(wait, maxStoreWait)
-	}
-	changes, version, err := r.source.Changes(ctx, after, wait)
-	if err == nil {
-		r.cache.Apply(changes, version)
-		return changes, version, nil
+	if now := r.time(); !r.cache.isRelayed() || now.Sub(r.storeFailedAt) >= storeRetryInterval {
+		if changes, version, err = r.readStore(ctx, after, wait); err == nil {
+			return changes, version, nil
+		}
+		r.storeFailedAt = now
 	}
-	r.cache.MarkDisconnected()
-	if a, ok := r.askOthers(ctx, after); ok {
+	if a, ok := r.askOthers(ctx, after, wait); ok {
 		if a.Outcome == Compacted {
 			return nil, after, compacted()
 		}
 		return a.Changes, a.Version, nil
 	}
-	if !readsStore && isSilent(err) {
+	r.cache.MarkUnreachable()
+	if err == nil {
+		err = &platform.Error{Op: "mirror", Kind: platform.Unreachable, Err: errNoPath}
+	}
+	if !r.selector.ReadsStore() && isSilent(err) {
 		clock.Sleep(ctx, reconnectDelay)
 	}
 	return nil, after, err
 }
 
-// askOthers asks VMs that are not mirrors of this one. They answer at once, so that this
-// VM soon tries its mirrors and the store again.
-func (r *Reader[T]) askOthers(ctx context.Context, after platform.StoreVersion) (Answer[T], bool) {
+// readStore waits for changes in the store.
+func (r *Reader[T]) readStore(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[T], platform.StoreVersion, error) {
+	if !r.selector.ReadsStore() {
+		wait = min(wait, maxStoreWait)
+	}
+	changes, version, err := r.source.Changes(ctx, after, wait)
+	if err != nil {
+		r.cache.MarkDisconnected()
+		return nil, after, err
+	}
+	r.cache.Apply(changes, version)
+	return changes, version, nil
+}
+
+// askOthers asks VMs that are not mirrors of this one.
+func (r *Reader[T]) askOthers(ctx context.Context, after platform.StoreVersion, wait time.Duration) (Answer[T], bool) {
 	for _, m := range r.selector.Others(r.time()) {
-		a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Disconnected: true})
+		a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait), Disconnected: true})
 		if !ok {
 			continue
 		}
@@ -214,7 +234,10 @@
 	return &platform.Error{Op: "mirror", Kind: platform.Compacted, Err: errHistoryDropped}
 }
 
-var errHistoryDropped = errors.New("the mirror dropped the history asked for")
+var (
+	errHistoryDropped = errors.New("the mirror dropped the history asked for")
+	errNoPath         = errors.New("no VM has a path to the store")
+)
 
 // isSilent reports whether a call failed because the store did not respond.
 func isSilent(err error) bool {
@@ -268,7 +291,7 @@
 	var a Answer[T]
 	switch {
 	case q.Disconnected:
-		a = r.cache.relay(q.After)
+		a = r.cache.relay(ctx, q.After, wait)
 	case q.After > 0:
 		a = r.cache.Changes(ctx, q.After, wait)
 	default:
--- a/serve/mirror/selector.go
+++ b/serve/mirror/selector.go
@@ -132,22 +132,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.countBefore(s.regionOrder)
-	rotated := append(slices.Clone(s.regionOrder[before:]), s.regionOrder[:before]...)
-	var out []Member
-	for len(out) < maxCandidates {
-		taken := len(out)
-		zones := map[ident.ZoneID]bool{}
-		for _, m := range rotated {
-			if m.VM != s.self.VM && !zones[m.Zone] && len(out) < maxCandidates && !now.Before(s.failedUntil[m.VM]) && !slices.Contains(out, m) {
-				zones[m.Zone] = true
-				out = append(out, m)
-			}
-		}
-		if len(out) == taken {
-			break
-		}
+	others := slices.Concat(s.regionOrder[before:], s.regionOrder[:before])
+	others = slices.DeleteFunc(others, func(m Member) bool { return m.VM == s.self.VM || now.Before(s.failedUntil[m.VM]) })
+	others = alternateZones(others)
+	return others[:min(len(others), maxCandidates)]
+}
+
+// alternateZones returns the members with the first one of each availability zone before
+// the second ones, and so on. It keeps the order otherwise.
+func alternateZones(members []Member) []Member {
+	turns := make(map[Member]int, len(members))
+	taken := map[ident.ZoneID]int{}
+	for _, m := range members {
+		turns[m] = taken[m.Zone]
+		taken[m.Zone]++
 	}
-	return out
+	slices.SortStableFunc(members, func(a, b Member) int { return cmp.Compare(turns[a], turns[b]) })
+	return members
 }
 
 // maxCandidates limits the members that are asked one after the other.
