--- /dev/null
+++ b/serve/mirror/main_test.go
@@ -0,0 +1,10 @@
+package mirror_test
+
+import (
+	"os"
+	"testing"
+
+	"carawaycross.example/carawaycross/internal/proptest"
+)
+
+func TestMain(m *testing.M) { os.Exit(proptest.Main(m)) }
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -43,8 +43,8 @@
 	// it reads from, before it answers Disconnected. Without it, all VMs that read
 	// through it would call the store at the same moment.
 	disconnectGrace = 300 * time.Millisecond
-	// storeRetryInterval is the time between two calls to the store of a VM that reads
-	// through others because the store does not serve it.
+	// storeRetryInterval is the time between two calls to the store of a VM that should
+	// read from a mirror and reads through others, because the store does not serve it.
 	storeRetryInterval = 3 * time.Second
 	// maxPath is the most VMs through which a VM reads the store.
 	maxPath = 8
@@ -178,11 +178,11 @@
 		r.cache.Apply(a.Changes, a.Version, a.Path...)
 		return a.Changes, a.Version, nil
 	}
-	if now := r.time(); !r.cache.isRelayed() || now.Sub(r.storeFailedAt) >= storeRetryInterval {
+	if r.shouldReadStore() {
 		if changes, version, err = r.readStore(ctx, after, wait); err == nil {
 			return changes, version, nil
 		}
-		r.storeFailedAt = now
+		r.storeFailedAt = r.time()
 	}
 	if a, ok := r.askOthers(ctx, after, wait); ok {
 		if a.Outcome == Compacted {
@@ -200,6 +200,11 @@
 	return nil, after, err
 }
 
+// shouldReadStore reports whether to call the store now that no mirror answered.
+func (r *Reader[T]) shouldReadStore() bool {
+	return r.selector.ReadsStore() || !r.cache.isRelayed() || r.time().Sub(r.storeFailedAt) >= storeRetryInterval
+}
+
 // readStore waits for changes in the store.
 func (r *Reader[T]) readStore(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[T], platform.StoreVersion, error) {
 	if !r.selector.ReadsStore() {
