--- a/core/replica/hold.go
+++ b/core/replica/hold.go
@@ -19,9 +19,6 @@
 	s.limit = 1
 }
 
-// HeldUntil returns the end of the hold; it is in the past if there is none.
-func (s *State) HeldUntil() ident.Instant { return s.heldUntil }
-
 // HeldUntil returns when the first replica of the shard that only a hold makes
 // unusable becomes usable, or false if there is none.
 func (s *Shard) HeldUntil(now ident.Instant) (ident.Instant, bool) {
--- a/proof/model/explore.go
+++ b/proof/model/explore.go
@@ -115,8 +115,8 @@
 func (w *world) fingerprint() string {
 	var b strings.Builder
 	fmt.Fprint(&b, w.version, len(w.broken), w.cut, w.paused, w.short)
-	for _, m := range w.machines {
-		fmt.Fprint(&b, "|", m.follower.State(), m.held, m.highest, m.reader.State(w.now))
+	for _, v := range w.vms {
+		fmt.Fprint(&b, "|", v.follower.State(), v.held, v.highest, v.reader.State(w.now))
 	}
 	return b.String()
 }
@@ -244,7 +244,7 @@
 	clear(w.cut)
 	clear(w.paused)
 	clear(w.short)
-	for i := range w.machines {
+	for i := range w.vms {
 		w.listMembers(i)
 	}
 	rounds = max(rounds, w.settle())
@@ -259,7 +259,7 @@
 // round lets every VM read once after all exclusions have ended.
 func (w *world) round() {
 	w.now = w.now.Add(exclusionTime)
-	for i := range w.machines {
+	for i := range w.vms {
 		w.step(i)
 	}
 }
@@ -268,16 +268,16 @@
 // every other one has noticed that it has none, and returns their number. A VM on a path
 // that broke passes that on in one round, so the latter takes a round for each VM.
 func (w *world) settle() int {
-	limit := maxRounds(len(w.machines))
+	limit := maxRounds(len(w.vms))
 	for n := 1; n <= limit; n++ {
 		calls := w.calls
 		w.round()
 		// Each VM calls the store at most once in a round: to list, or for changes.
-		if w.calls-calls > len(w.machines) {
+		if w.calls-calls > len(w.vms) {
 			w.report("%d calls to the store in one round", w.calls-calls)
 		}
 		unaware := w.unaware()
-		if unaware >= 0 && n >= len(w.machines) {
+		if unaware >= 0 && n >= len(w.vms) {
 			w.report("vm-%d has no path to the store and has not noticed after %d rounds", unaware, n)
 			return n
 		}
@@ -291,22 +291,22 @@
 
 // behind returns a VM that has a path to the store and not its newest version, or -1.
 func (w *world) behind() int {
-	return slices.IndexFunc(w.machines, func(m *machine) bool {
-		return !w.paused[m.index] && m.follower.Version() < w.version && w.reaches(m.index)
+	return slices.IndexFunc(w.vms, func(v *vm) bool {
+		return !w.paused[v.index] && v.follower.Version() < w.version && w.reaches(v.index)
 	})
 }
 
 // unaware returns a VM that has no path to the store although its last read succeeded, or
 // -1.
 func (w *world) unaware() int {
-	return slices.IndexFunc(w.machines, func(m *machine) bool {
-		return !w.paused[m.index] && !m.failed && !w.reaches(m.index)
+	return slices.IndexFunc(w.vms, func(v *vm) bool {
+		return !w.paused[v.index] && !v.failed && !w.reaches(v.index)
 	})
 }
 
 // checkAcyclic checks that no VM selects itself as a mirror through others.
 func (w *world) checkAcyclic() {
-	selects := func(i int) []mirror.Member { return w.machines[i].selector.Mirrors(w.now.Add(exclusionTime)) }
+	selects := func(i int) []mirror.Member { return w.vms[i].selector.Mirrors(w.now.Add(exclusionTime)) }
 	var visit func(i int, path []int) bool
 	visit = func(i int, path []int) bool {
 		if slices.Contains(path, i) {
@@ -320,7 +320,7 @@
 		}
 		return false
 	}
-	for i := range w.machines {
+	for i := range w.vms {
 		if visit(i, nil) {
 			w.report("vm-%d selects itself as a mirror", i)
 			return
--- a/proof/model/world.go
+++ b/proof/model/world.go
@@ -61,14 +61,14 @@
 	cut    map[link]bool
 	paused map[int]bool
 	// short holds the VMs whose list of VMs lacks the first one.
-	short    map[int]bool
-	members  []mirror.Member
-	machines []*machine
-	broken   []string
+	short   map[int]bool
+	members []mirror.Member
+	vms     []*vm
+	broken  []string
 }
 
-// A machine is one incarnation of a VM.
-type machine struct {
+// A vm is one incarnation of a VM.
+type vm struct {
 	world    *world
 	index    int
 	selector *mirror.Selector
@@ -92,7 +92,7 @@
 			VM: ident.VMID(fmt.Sprint("vm-", i)), Zone: zones[i%len(zones)], Address: fmt.Sprint(i), Certificate: "c",
 		})
 	}
-	w.machines = make([]*machine, vms)
+	w.vms = make([]*vm, vms)
 	for i := range vms {
 		w.restart(i)
 	}
@@ -102,20 +102,20 @@
 // restart replaces a VM by its next incarnation, which knows nothing.
 func (w *world) restart(i int) {
 	self := w.members[i]
-	m := &machine{world: w, index: i, held: map[string]ident.RoutesVersion{}, selector: mirror.NewSelector(self, zones)}
-	m.core = control.New(ident.FromTime(w.now), control.Config{
+	v := &vm{world: w, index: i, held: map[string]ident.RoutesVersion{}, selector: mirror.NewSelector(self, zones)}
+	v.core = control.New(ident.FromTime(w.now), control.Config{
 		Self: roster.Member{VM: self.VM, Zone: self.Zone}, Discovers: true, Peerless: true,
 	})
-	m.reader = mirror.NewReader(watch.Source[catalogue.Configuration](source{w, i}), mirror.Codec[catalogue.Configuration]{
+	v.reader = mirror.NewReader(watch.Source[catalogue.Configuration](source{w, i}), mirror.Codec[catalogue.Configuration]{
 		Marshal: codec.MarshalRoutes, Unmarshal: codec.UnmarshalRoutes,
-	}, m.selector, transport{w, i})
-	m.reader.Now = func() time.Time { return w.now }
-	m.follower = watch.Follower[catalogue.Configuration]{Source: m.reader, Handler: watch.Handler[catalogue.Configuration]{
-		Listed:  func(_ context.Context, items []platform.Change[catalogue.Configuration]) { m.replace(items) },
-		Changed: func(_ context.Context, changes []platform.Change[catalogue.Configuration]) { m.apply(changes) },
+	}, v.selector, transport{w, i})
+	v.reader.Now = func() time.Time { return w.now }
+	v.follower = watch.Follower[catalogue.Configuration]{Source: v.reader, Handler: watch.Handler[catalogue.Configuration]{
+		Listed:  func(_ context.Context, items []platform.Change[catalogue.Configuration]) { v.replace(items) },
+		Changed: func(_ context.Context, changes []platform.Change[catalogue.Configuration]) { v.apply(changes) },
 		Failed:  func(context.Context, string, error) {},
 	}}
-	w.machines[i] = m
+	w.vms[i] = v
 	w.listMembers(i)
 }
 
@@ -125,24 +125,24 @@
 	if w.short[i] {
 		list = list[1:]
 	}
-	w.machines[i].selector.SetMembers(list)
+	w.vms[i].selector.SetMembers(list)
 }
 
-func (m *machine) replace(items []platform.Change[catalogue.Configuration]) {
-	clear(m.held)
-	m.apply(items)
+func (v *vm) replace(items []platform.Change[catalogue.Configuration]) {
+	clear(v.held)
+	v.apply(items)
 }
 
-func (m *machine) apply(changes []platform.Change[catalogue.Configuration]) {
+func (v *vm) apply(changes []platform.Change[catalogue.Configuration]) {
 	for _, c := range changes {
 		if c.Deleted {
-			delete(m.held, c.Name)
+			delete(v.held, c.Name)
 			continue
 		}
-		m.held[c.Name] = c.Value.Version
+		v.held[c.Name] = c.Value.Version
 		if c.Name == mainObject {
-			m.core.RoutesRead(ident.FromTime(m.world.now), c.Value)
-			m.core.Drain(nil)
+			v.core.RoutesRead(ident.FromTime(v.world.now), c.Value)
+			v.core.Drain(nil)
 		}
 	}
 }
@@ -152,24 +152,24 @@
 	if w.paused[i] {
 		return
 	}
-	m := w.machines[i]
-	_, err := m.follower.Step(context.Background())
-	m.failed = err != nil
-	version := m.follower.Version()
-	if version < m.highest {
-		w.report("vm-%d went back from version %d to %d", i, m.highest, version)
+	v := w.vms[i]
+	_, err := v.follower.Step(context.Background())
+	v.failed = err != nil
+	version := v.follower.Version()
+	if version < v.highest {
+		w.report("vm-%d went back from version %d to %d", i, v.highest, version)
 	}
-	m.highest = max(m.highest, version)
-	if got := m.core.RoutesVersion(); got < m.routes {
-		w.report("vm-%d put routes %d in force after %d", i, got, m.routes)
+	v.highest = max(v.highest, version)
+	if got := v.core.RoutesVersion(); got < v.routes {
+		w.report("vm-%d put routes %d in force after %d", i, got, v.routes)
 	} else {
-		m.routes = got
+		v.routes = got
 	}
-	if m.routes < m.held[mainObject] {
-		w.report("vm-%d read routes %d but has %d in force", i, m.held[mainObject], m.routes)
+	if v.routes < v.held[mainObject] {
+		w.report("vm-%d read routes %d but has %d in force", i, v.held[mainObject], v.routes)
 	}
-	if want := objectsAt(version); version > 0 && !maps.Equal(m.held, want) {
-		w.report("vm-%d holds %v at version %d, the store held %v", i, m.held, version, want)
+	if want := objectsAt(version); version > 0 && !maps.Equal(v.held, want) {
+		w.report("vm-%d holds %v at version %d, the store held %v", i, v.held, version, want)
 	}
 }
 
@@ -208,7 +208,7 @@
 		if w.connected(at, storeEnd) {
 			return true
 		}
-		for next := range w.machines {
+		for next := range w.vms {
 			listed := next != 0 || !w.short[at]
 			if !seen[next] && listed && w.connected(at, next) {
 				seen[next] = true
@@ -261,5 +261,5 @@
 		return mirror.Answer[[]byte]{}, errLost
 	}
 	q.Wait = 0
-	return t.world.machines[other].reader.Answer(ctx, q), nil
+	return t.world.vms[other].reader.Answer(ctx, q), nil
 }
