node: choose the slow replicas of TestManyReplicasSlow in a fixed order

The slow replicas were chosen by the order of a map, so that each run played another case; in one of 40 choices all three replicas of a shard are slow, and no choice of replica meets the goal then.

Change: ten seeds with a fixed order each, never all replicas of a shard, up to two. The bound of 0.95 stays.

--- a/core/node/passing_test.go
+++ b/core/node/passing_test.go
@@ -89,22 +89,27 @@
 }
 
 // TestManyReplicasSlow checks that searches avoid slow replicas. One replica in six, over
-// all shards, takes eight times as long during the whole run.
+// all shards, takes eight times as long during the whole run, but not all of a shard: no
+// choice of replica could then be in time.
 func TestManyReplicasSlow(t *testing.T) {
-	sim := newRoutedSimulation(2, node.Routed(), 10, 3, 4)
-	sim.setPauses(4500*time.Millisecond, 200*time.Millisecond)
-	i := 0
-	for _, r := range sim.byID {
-		if i++; i%6 == 0 {
-			r.slowdown = 8
+	for seed := range uint64(10) {
+		sim := newRoutedSimulation(seed, node.Routed(), 10, 3, 4)
+		sim.setPauses(4500*time.Millisecond, 200*time.Millisecond)
+		slow := map[int]int{}
+		// The order is fixed, so that a seed always gives the same run.
+		for _, n := range sim.random.Perm(30) {
+			if slow[n/3] < 2 && len(slow) < 5 {
+				slow[n/3]++
+				sim.services[ident.ServiceID(fmt.Sprintf("s%d", n/3))][n%3].slowdown = 8
+			}
 		}
-	}
-	sim.runLoads(sim.urgent(), sim.sweep())
-	sim.reportFailures(t)
-	sim.checkQuota(t)
-	for name, o := range sim.outcomes {
-		if o.meanValue() < 0.95 {
-			t.Errorf("%s: mean value %.3f, expected 0.95 (%d partial, %d late, %d failed)", name, o.meanValue(), o.partial, o.late, o.failed)
+		sim.runLoads(sim.urgent(), sim.sweep())
+		sim.reportFailures(t)
+		sim.checkQuota(t)
+		for name, o := range sim.outcomes {
+			if o.meanValue() < 0.95 {
+				t.Errorf("seed %d, %s: mean value %.3f, expected 0.95 (%d partial, %d late, %d failed)", seed, name, o.meanValue(), o.partial, o.late, o.failed)
+			}
 		}
 	}
 }
