--- a/core/node/trouble_test.go
+++ b/core/node/trouble_test.go
@@ -154,7 +154,7 @@
 }
 
 // TestAllReplicasAskForTime checks that a request is refused at once, as not run, while
-// all replicas ask for time, and is told to come back when the first of them is back.
+// all replicas ask for time, with a Retry-After until the first of them is back.
 func TestAllReplicasAskForTime(t *testing.T) {
 	c := newTroubleCase(t, 2)
 	first := c.ask(true)
--- a/serve/traffic/loop.go
+++ b/serve/traffic/loop.go
@@ -149,8 +149,8 @@
 // MostlyUnserved reports whether most requests of the last second were not served.
 func (l *Loop) MostlyUnserved() bool { return l.mostlyUnserved.Load() }
 
-// MostlyServed reports whether enough requests ended in the last second to tell that
-// most of them were served.
+// MostlyServed reports whether enough requests ended in the last second, and most of them
+// were served.
 func (l *Loop) MostlyServed() bool { return l.mostlyServed.Load() }
 
 // SetCutOff sets whether the VM is cut off from other availability zones.
--- a/serve/vm/reach.go
+++ b/serve/vm/reach.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// notifyZone tells VMs of the zone that this VM is cut off.
+// notifyZone notifies VMs of the zone that this VM is cut off.
 func (v *VM) notifyZone(ctx context.Context) {
 	notice, err := proto.Marshal(&schema.PeerCall{CutOff: &schema.CutOffNotice{Zone: v.settings.Message.Vm.Zone}})
 	if err != nil {
