--- /dev/null
+++ b/review/.src/rig/rig.go
@@ -0,0 +1,189 @@
+// Command rig runs one case of the review: it starts a small deployment of stand-ins on
+// loopback, the entry VMs as separate processes with the command of the deploy file, and
+// the clients of the case, and writes what was sent, answered and run.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/proof/fleet"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld    = 0
+	exitBroken  = 1
+	exitCannot  = 2
+	readyWithin = 20 * time.Second
+)
+
+// A rig is a running deployment.
+type rig struct {
+	site    *fleet.Site
+	folder  string
+	trouble bool
+	vms     []*exec.Cmd
+	began   time.Time
+
+	mu     sync.Mutex
+	record *os.File
+}
+
+// note writes a line to the record.
+func (r *rig) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.record, "%8.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// extra holds the settings of a small deployment that BootSpec does not write.
+const extra = `role=entry
+machineClass=frontend
+serves=frontend
+faultCounted=true
+limits.cores=1
+limits.memoryMb=414
+limits.maxFds=6150
+discovery=platform
+entry=vip
+heartbeatMs=1200
+faultTolerance.machines=2
+faultTolerance.zones=1
+bounds.stableWindowMs=4000
+bounds.drainMs=3000
+bounds.lossSlackMs=200
+platform.form=objects
+platform.writesPerS=400
+platform.readsPerS=2000
+platform.historyS=20
+`
+
+// startVM starts an entry VM with the command of the deploy file.
+func (r *rig) startVM(i int) error {
+	boot := r.site.Boots[i]
+	path := filepath.Join(r.folder, boot.VM+".conf")
+	if err := os.WriteFile(path, []byte(boot.Text()+extra), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(r.folder, boot.VM+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	c := exec.Command("target/carawaycross", "entry")
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.folder, platform.BootVariable + "=" + path}
+	c.Stdout, c.Stderr = log, log
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	r.vms[i] = c
+	r.note("%s started", boot.VM)
+	return nil
+}
+
+// killVM sends SIGKILL to an entry VM and waits for its end.
+func (r *rig) killVM(i int) {
+	if c := r.vms[i]; c != nil {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+		r.vms[i] = nil
+	}
+}
+
+func (r *rig) front(i int) string {
+	return fmt.Sprintf("%s:%d", r.site.Boots[i].IP, r.site.Boots[i].Front)
+}
+
+// ready asks an entry VM as the load balancer does.
+func (r *rig) ready(i int) bool {
+	b := r.site.Boots[i]
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get(fmt.Sprintf("http://%s:%d%s", b.IP, b.Ready, platform.ReadyPath))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (r *rig) awaitReady() error {
+	until := time.Now().Add(readyWithin)
+	for i := range r.vms {
+		for !r.ready(i) {
+			if time.Now().After(until) {
+				return errors.New(r.site.Boots[i].VM + " is not ready")
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// start starts the deployment and waits until each VM is ready.
+func (r *rig) start(spec fleet.SiteSpec) error {
+	var err error
+	if r.site, err = fleet.StartSite(spec); err != nil {
+		return err
+	}
+	r.vms = make([]*exec.Cmd, len(r.site.Boots))
+	for i := range r.vms {
+		if err := r.startVM(i); err != nil {
+			return err
+		}
+	}
+	return r.awaitReady()
+}
+
+func (r *rig) stop() {
+	for i := range r.vms {
+		r.killVM(i)
+	}
+	if r.site != nil {
+		_ = r.site.Close()
+	}
+}
+
+// A scenario returns whether the rule was broken.
+type scenario func(r *rig) (broken bool, err error)
+
+var scenarios = map[string]scenario{"half-close": halfClose}
+
+func main() {
+	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig SCENARIO FOLDER RECORD")
+		os.Exit(exitCannot)
+	}
+	os.Exit(run(scenarios[os.Args[1]], os.Args[2], os.Args[3]))
+}
+
+func run(s scenario, folder, recordPath string) int {
+	record, err := os.Create(recordPath)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCannot
+	}
+	defer record.Close()
+	r := &rig{folder: folder, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record}
+	defer r.stop()
+	broken, err := s(r)
+	switch {
+	case err != nil:
+		r.note("the case could not run: %v", err)
+		return exitCannot
+	case broken:
+		r.note("the rule was broken")
+		return exitBroken
+	}
+	r.note("the rule held")
+	return exitHeld
+}
