--- a/review/.src/rig/rig.go
+++ b/review/.src/rig/rig.go
@@ -156,7 +156,7 @@
 // A scenario returns whether the rule was broken.
 type scenario func(r *rig) (broken bool, err error)
 
-var scenarios = map[string]scenario{"half-close": halfClose}
+var scenarios = map[string]scenario{"half-close": halfClose, "crasher": crasher, "alone": alone}
 
 func main() {
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
