--- a/review/.src/rig/rig.go
+++ b/review/.src/rig/rig.go
@@ -33,6 +33,8 @@
 	trouble bool
 	vms     []*exec.Cmd
 	began   time.Time
+	// prepare, if not nil, runs after the stand-ins are started and before the VMs.
+	prepare func() error
 
 	mu     sync.Mutex
 	record *os.File
@@ -135,6 +137,11 @@
 	if r.site, err = fleet.StartSite(spec); err != nil {
 		return err
 	}
+	if r.prepare != nil {
+		if err := r.prepare(); err != nil {
+			return err
+		}
+	}
 	r.vms = make([]*exec.Cmd, len(r.site.Boots))
 	for i := range r.vms {
 		if err := r.startVM(i); err != nil {
@@ -156,7 +163,7 @@
 // A scenario returns whether the rule was broken.
 type scenario func(r *rig) (broken bool, err error)
 
-var scenarios = map[string]scenario{"half-close": halfClose, "crasher": crasher, "alone": alone}
+var scenarios = map[string]scenario{"half-close": halfClose, "crasher": crasher, "alone": alone, "history": history}
 
 func main() {
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
