--- a/review/.src/rig/alone.go
+++ b/review/.src/rig/alone.go
@@ -16,7 +16,6 @@
 )
 
 const (
-	aloneVMs      = 4
 	aloneReplicas = 2
 	// warmupPerS and warmup are those of the service: the rate that a cold replica
 	// tolerates, and how long it is cold.
@@ -59,7 +58,7 @@
 	c := &coldReplica{r: r, id: id, addr: l.Addr().String(), zone: zone, began: time.Now(), cold: cold}
 	c.server = &http.Server{Handler: http.HandlerFunc(c.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = c.server.Serve(l) }()
-	spec, err := platform.MarshalReplica(catalogue.Replica{ID: id, Service: fleet.Desk, Zone: zone, Address: c.addr, Slots: 6}, cold)
+	spec, err := platform.MarshalReplica(catalogue.Replica{ID: id, Service: fleet.Desk, Zone: zone, Address: c.addr, Slots: deskSlots}, cold)
 	if err != nil {
 		return nil, err
 	}
@@ -122,16 +121,16 @@
 // alone kills all VMs while the store is down. When the store is back, the replicas of one
 // service have restarted too and are cold.
 func alone(r *rig) (bool, error) {
-	spec := fleet.SmallSite()
-	spec.VMs, spec.DeskReplicas = aloneVMs, 0
+	spec := siteSpec()
+	spec.DeskReplicas = 0
 	if err := r.start(spec); err != nil {
 		return false, err
 	}
 	next := r.site.Configuration
-	next.Version += 4
+	next.Version += versionsPerChange
 	for i := range next.Services {
 		if next.Services[i].ID == fleet.Desk {
-			next.Services[i].ColdRate, next.Services[i].Connections = warmupPerS, 96
+			next.Services[i].ColdRate = warmupPerS
 		}
 	}
 	if err := r.site.Configure(next); err != nil {
--- a/review/.src/rig/crasher.go
+++ b/review/.src/rig/crasher.go
@@ -16,9 +16,7 @@
 )
 
 const (
-	crasherVMs      = 4
-	crasherReplicas = 13
-	crasherPath     = "/look/crasher"
+	crasherPath = "/look/crasher"
 	// crasherEvery is the time between two consumer attempts of the request that crashes.
 	crasherEvery = 2 * time.Second
 	crasherFor   = 40 * time.Second
@@ -78,7 +76,7 @@
 	s.mu.Unlock()
 	c.server = &http.Server{Handler: http.HandlerFunc(c.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = c.server.Serve(l) }()
-	spec, err := platform.MarshalReplica(catalogue.Replica{ID: c.id, Service: fleet.Desk, Zone: zone, Address: c.addr, Slots: 6}, 0)
+	spec, err := platform.MarshalReplica(catalogue.Replica{ID: c.id, Service: fleet.Desk, Zone: zone, Address: c.addr, Slots: deskSlots}, 0)
 	if err != nil {
 		return err
 	}
@@ -147,13 +145,13 @@
 // crasher sends a request that crashes each replica that begins to run it, again and again,
 // beside usual requests.
 func crasher(r *rig) (bool, error) {
-	spec := fleet.SmallSite()
-	spec.VMs, spec.DeskReplicas = crasherVMs, 0
+	spec := siteSpec()
+	spec.DeskReplicas = 0
 	if err := r.start(spec); err != nil {
 		return false, err
 	}
 	s := &crashSite{r: r, seen: map[string]int{}}
-	for i := range crasherReplicas {
+	for i := range deskReplicas {
 		if err := s.boot(ident.ZoneID(spec.Zones[i%len(spec.Zones)]), "127.0.0.1:0"); err != nil {
 			return false, err
 		}
--- a/review/.src/rig/halfclose.go
+++ b/review/.src/rig/halfclose.go
@@ -22,7 +22,7 @@
 // halfClose sends orders. Three consumers in ten leave before their deadline: they close
 // their sending side and read what still comes.
 func halfClose(r *rig) (bool, error) {
-	spec := fleet.SmallSite()
+	spec := siteSpec()
 	spec.Work = workTime
 	if err := r.start(spec); err != nil {
 		return false, err
--- a/review/.src/rig/history.go
+++ b/review/.src/rig/history.go
@@ -16,7 +16,6 @@
 )
 
 const (
-	historyVMs = 5
 	// The store refuses the first refusedVMs, 0.35 of them rounded up, for refuseFor.
 	refusedVMs   = 2
 	refuseFor    = 9 * time.Second
@@ -61,8 +60,7 @@
 // again, the operator adds a route, and the store drops its history before the watches have
 // heard of it.
 func history(r *rig) (bool, error) {
-	spec := fleet.SmallSite()
-	spec.VMs = historyVMs
+	spec := siteSpec()
 	var gates []*gate
 	r.prepare = func() error {
 		for i := range r.site.Boots {
@@ -108,11 +106,11 @@
 // with 404 too late, at VMs that the store has never refused.
 func (r *rig) addRoute(n int) (late int, err error) {
 	next := r.site.Configuration
-	next.Version += 4
+	next.Version += versionsPerChange
 	prefix := fmt.Sprintf("/added-%d/", n)
 	next.Routes = append(append([]route.Route(nil), next.Routes...), route.Route{
 		Name: ident.RouteID("added-" + fmt.Sprint(n)), Host: fleet.DeskHost, Prefix: prefix, Repeatable: true,
-		Timeout: 3 * time.Second, Goal: 300 * time.Millisecond, Rank: 2, Attempts: 2,
+		Timeout: deskTimeout, Goal: deskGoal, Rank: 2, Attempts: 2,
 		Targets: []route.Target{{Services: []ident.ServiceID{fleet.Desk}, Weight: 1}},
 	})
 	if r.trouble {
--- a/review/.src/rig/rig.go
+++ b/review/.src/rig/rig.go
@@ -47,14 +47,14 @@
 	fmt.Fprintf(r.record, "%8.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// extra holds the settings of a small deployment that BootSpec does not write.
+// extra holds settings of kabinen-suche that BootSpec does not write.
 const extra = `role=entry
 machineClass=frontend
 serves=frontend
 faultCounted=true
 limits.cores=1
-limits.memoryMb=414
-limits.maxFds=6150
+limits.memoryMb=284
+limits.maxFds=4100
 discovery=platform
 entry=vip
 heartbeatMs=1200
@@ -131,12 +131,71 @@
 	return nil
 }
 
+// The figures of kabinen-suche: its machines, and the replicas of frontdesk.
+const (
+	siteVMs           = 5
+	deskReplicas      = 23
+	deskSlots         = 3
+	deskConnections   = 38
+	deskGoal          = 600 * time.Millisecond
+	deskTimeout       = 10 * time.Second
+	browseTimeout     = 2500 * time.Millisecond
+	browseTop         = 20
+	browseCoverage    = 0.89
+	walkinTimeout     = time.Second
+	siteGrace         = 6 * time.Second
+	siteShards        = 10
+	shardReplicas     = 3
+	shardSlots        = 4
+	shardConnections  = 35
+	versionsPerChange = 4
+)
+
+// siteSpec returns the deployment of kabinen-suche. The service of the stand-ins that is not
+// sharded stands for frontdesk.
+func siteSpec() fleet.SiteSpec {
+	spec := fleet.SmallSite()
+	spec.Zones = []string{"zh-altstetten", "zh-oerlikon", "winterthur", "baden"}
+	spec.VMs, spec.Shards, spec.Replicas, spec.Slots, spec.Connections = siteVMs, siteShards, shardReplicas, shardSlots, shardConnections
+	spec.DeskReplicas = deskReplicas
+	return spec
+}
+
+// adapt gives the routes and services of the stand-ins the figures of kabinen-suche.
+func (r *rig) adapt() error {
+	for i := range r.site.Boots {
+		r.site.Boots[i].Grace = siteGrace
+	}
+	next := r.site.Configuration
+	next.Version += versionsPerChange
+	for i := range next.Routes {
+		q := &next.Routes[i]
+		switch {
+		case q.Name == "sweep":
+			q.Timeout, q.Top, q.LeastCoverage = browseTimeout, browseTop, browseCoverage
+		case q.Name == "urgent":
+			q.Timeout = walkinTimeout
+		default:
+			q.Timeout, q.Goal = deskTimeout, deskGoal
+		}
+	}
+	for i := range next.Services {
+		if next.Services[i].ID == fleet.Desk {
+			next.Services[i].Connections = deskConnections
+		}
+	}
+	return r.site.Configure(next)
+}
+
 // start starts the deployment and waits until each VM is ready.
 func (r *rig) start(spec fleet.SiteSpec) error {
 	var err error
 	if r.site, err = fleet.StartSite(spec); err != nil {
 		return err
 	}
+	if err := r.adapt(); err != nil {
+		return err
+	}
 	if r.prepare != nil {
 		if err := r.prepare(); err != nil {
 			return err
