--- a/review/.src/rig/history.go
+++ b/review/.src/rig/history.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// The store refuses the first refusedVMs, 0.35 of them rounded up, for refuseFor.
+	// The store refuses refusedVMs, 0.35 of them rounded up, for refuseFor: in each round the
+	// next ones.
 	refusedVMs   = 2
 	refuseFor    = 9 * time.Second
 	calmFor      = 3 * time.Second
@@ -56,6 +57,11 @@
 	return g, nil
 }
 
+// refusedIn reports whether the store refuses the i-th VM in round n.
+func refusedIn(n, i int) bool {
+	return (i-n*refusedVMs%siteVMs+siteVMs)%siteVMs < refusedVMs
+}
+
 // history lets the store refuse two VMs for a while. Later, when it serves all of them
 // again, the operator adds a route, and the store drops its history before the watches have
 // heard of it.
@@ -80,9 +86,11 @@
 	late := 0
 	for n := range historyTimes {
 		if r.trouble {
-			r.note("the store refuses %d VMs for %v", refusedVMs, refuseFor)
-			for _, g := range gates[:refusedVMs] {
-				g.refuse.Store(true)
+			for i, g := range gates {
+				if refusedIn(n, i) {
+					g.refuse.Store(true)
+					r.note("the store refuses %s for %v", r.site.Boots[i].VM, refuseFor)
+				}
 			}
 		}
 		time.Sleep(refuseFor)
@@ -103,7 +111,7 @@
 }
 
 // addRoute adds a route and asks each VM for it. It returns how many requests were refused
-// with 404 too late, at VMs that the store has never refused.
+// with 404 too late, at VMs that the store has not refused in this round.
 func (r *rig) addRoute(n int) (late int, err error) {
 	next := r.site.Configuration
 	next.Version += versionsPerChange
@@ -138,7 +146,7 @@
 				known[i] = true
 				r.note("%s serves the new route %v after the acknowledgement", r.site.Boots[i].VM, sent.Sub(acknowledged).Round(time.Millisecond))
 			}
-			if status == http.StatusNotFound && i >= refusedVMs && sent.Sub(acknowledged) > configApply && sent.Sub(dropped) > stableWindow {
+			if status == http.StatusNotFound && !refusedIn(n, i) && sent.Sub(acknowledged) > configApply && sent.Sub(dropped) > stableWindow {
 				late++
 				r.note("%s answers 404, sent %v after the acknowledgement", r.site.Boots[i].VM, sent.Sub(acknowledged).Round(time.Millisecond))
 			}
