mirror: return the errors with which the store answered

Cause: Reader.Changes asked other VMs after any error of the store. They were in the same state and answered "nothing new", which replaced the 410 that leads to a new listing. Errors of the prober (watch behind) were replaced in the same way.

Evidence: the new event read-through-others names the path of such an answer and the error that it replaces. Ruled out: VMs that read through each other without a path to the store, since the error was "compacted" once a second, with paths that grew until they led back to their start.

It no longer marks the VM as disconnected, so the VMs behind it do not all turn to the store.

--- /dev/null
+++ b/serve/mirror/history_test.go
@@ -0,0 +1,120 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/mirror"
+	"carawaycross.example/carawaycross/serve/watch"
+)
+
+var errCompacted = &platform.Error{Op: "watch", Kind: platform.Compacted, Err: errors.New("history dropped")}
+
+// TestErrorThatTheStoreAnsweredIsReturned guards against stale configurations: the answer
+// "nothing new" of a VM that is itself behind replaced the error from which a reader
+// learns that the store has changes that its watch cannot return.
+func TestErrorThatTheStoreAnsweredIsReturned(t *testing.T) {
+	for name, answered := range map[string]error{
+		"history dropped": errCompacted,
+		"watch behind":    &watch.Error{Op: "wait", Kind: watch.Behind, Err: errors.New("changes")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stores := []*fakeStore{newStore(), newStore(), newStore()}
+			template := newStore()
+			template.set("a", "1")
+			readers, _, _ := newConfiguredZone(stores, template, (*mirror.Selector).AlwaysReadStore)
+			ctx := context.Background()
+			for _, r := range readers {
+				if _, err := r.List(ctx); err != nil {
+					t.Fatal(err)
+				}
+			}
+			stores[0].failure = answered
+			_, version, err := readers[0].Changes(ctx, 1, time.Minute)
+			if !errors.Is(err, answered) || version != 1 {
+				t.Fatalf("got version %d and error %v, expected the error of the store", version, err)
+			}
+			if a := readers[0].Answer(ctx, mirror.Question{After: 1}); a.Outcome != mirror.OK {
+				t.Fatalf("a VM that the store answers reports %q to the VMs that read through it", a.Outcome)
+			}
+		})
+	}
+}
+
+// TestDroppedHistoryReachesAllVMs guards against a group of VMs that read through each
+// other after the store had refused some of them, and so missed that it dropped its
+// history.
+func TestDroppedHistoryReachesAllVMs(t *testing.T) {
+	for name, tc := range map[string]struct {
+		configure func(*mirror.Selector)
+		refused   []int
+	}{
+		"all VMs read the store":        {(*mirror.Selector).AlwaysReadStore, []int{2, 3}},
+		"all VMs read it, all refused":  {(*mirror.Selector).AlwaysReadStore, []int{0, 1, 2, 3, 4}},
+		"VMs read through mirrors":      {func(*mirror.Selector) {}, []int{2, 3}},
+		"the mirror itself was refused": {func(*mirror.Selector) {}, []int{0, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const vms = 5
+			stores := make([]*fakeStore, vms)
+			for i := range stores {
+				stores[i] = newStore()
+			}
+			template := newStore()
+			template.set("a", "1")
+			readers, _, _ := newConfiguredZone(stores, template, tc.configure)
+			now := time.Now()
+			followers := make([]watch.Follower[string], vms)
+			for i, r := range readers {
+				r.Now = func() time.Time { return now }
+				followers[i] = watch.Follower[string]{Source: r, Handler: ignoreAll}
+			}
+			round := func() {
+				for i := range followers {
+					_, _ = followers[i].Step(context.Background())
+				}
+				now = now.Add(time.Second)
+			}
+			round()
+			for _, i := range tc.refused {
+				stores[i].down = true
+			}
+			for range 9 {
+				round()
+			}
+			for _, s := range stores {
+				s.down, s.silent = false, true
+			}
+			for range 3 {
+				round()
+			}
+			for _, s := range stores {
+				s.set("a", "2")
+			}
+			round()
+			for _, s := range stores {
+				s.silent, s.droppedBefore = false, s.version
+			}
+			// One step receives that the history is dropped and one lists the objects. A
+			// refused VM of a tree first finds its mirror again.
+			const bound = 4
+			for range bound {
+				round()
+			}
+			for i := range followers {
+				if got := followers[i].Version(); got != 2 {
+					t.Errorf("VM %d is at version %d, expected 2", i, got)
+				}
+			}
+		})
+	}
+}
+
+var ignoreAll = watch.Handler[string]{
+	Listed:  func(context.Context, []platform.Change[string]) {},
+	Changed: func(context.Context, []platform.Change[string]) {},
+	Failed:  func(context.Context, string, error) {},
+}
--- a/serve/mirror/mirror_test.go
+++ b/serve/mirror/mirror_test.go
@@ -23,7 +23,12 @@
 	objects map[string]string
 	log     []platform.Change[string]
 	down    bool
-	reads   int
+	// silent stores return no changes, and droppedBefore is the version before which the
+	// history is gone. failure, if not nil, is the error of Changes.
+	silent        bool
+	droppedBefore platform.StoreVersion
+	failure       error
+	reads         int
 	// waiting, if not nil, is called while a caller waits for changes.
 	waiting func()
 }
@@ -50,8 +55,15 @@
 	if s.waiting != nil {
 		s.waiting()
 	}
-	if s.down {
+	switch {
+	case s.down:
 		return nil, after, errDown
+	case s.failure != nil:
+		return nil, after, s.failure
+	case after < s.droppedBefore:
+		return nil, after, errCompacted
+	case s.silent:
+		return nil, after, nil
 	}
 	return s.log[after:], s.version, nil
 }
@@ -104,6 +116,11 @@
 // newZoneWithStores returns a zone in which each VM reads its own store. If template is
 // not nil, each of these is a copy of it.
 func newZoneWithStores(stores []*fakeStore, template *fakeStore) ([]*mirror.Reader[string], []ident.VMID, *fakeTransport) {
+	return newConfiguredZone(stores, template, func(*mirror.Selector) {})
+}
+
+// newConfiguredZone is newZoneWithStores with a function that configures the selectors.
+func newConfiguredZone(stores []*fakeStore, template *fakeStore, configure func(*mirror.Selector)) ([]*mirror.Reader[string], []ident.VMID, *fakeTransport) {
 	n := len(stores)
 	if template != nil {
 		for i := range stores {
@@ -119,6 +136,7 @@
 	order := make([]ident.VMID, n)
 	for _, m := range members {
 		selector := mirror.NewSelector(m, testRegion)
+		configure(selector)
 		selector.SetMembers(members)
 		position := 0
 		for _, other := range members {
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -91,6 +91,26 @@
 	// Unreadable, if not nil, is called for each object of an answer that cannot be
 	// decoded or encoded.
 	Unreadable func(kind, name string, err error)
+	// ReadThroughOthers, if not nil, is called for an answer of a VM that is no mirror of
+	// this one, if it came by another path than the last one or replaces another failure of
+	// the store.
+	ReadThroughOthers func(Detour)
+	// lastDetour is the detour of the last answer; its Path is nil if the last read came
+	// from the store or a mirror.
+	lastDetour Detour
+}
+
+// A Detour is a read through VMs that are no mirrors of this one.
+type Detour struct {
+	Kind string
+	// Path holds the VMs through which the answer came, nearest first.
+	Path []ident.VMID
+	// After is the version after which changes were requested, and Version the one that
+	// the answer leads to.
+	After, Version platform.StoreVersion
+	// StoreErr is the error of the call to the store that the answer replaces; nil if the
+	// store was not called.
+	StoreErr error
 }
 
 // NewReader returns a Reader of a source and of the mirrors that selector selects.
@@ -176,11 +196,12 @@
 			return nil, after, compacted()
 		}
 		r.cache.Apply(a.Changes, a.Version, a.Path...)
+		r.lastDetour = Detour{}
 		return a.Changes, a.Version, nil
 	}
 	if r.shouldReadStore() {
-		if changes, version, err = r.readStore(ctx, after, wait); err == nil {
-			return changes, version, nil
+		if changes, version, err = r.readStore(ctx, after, wait); err == nil || storeAnswered(err) {
+			return changes, version, err
 		}
 		r.storeFailedAt = r.time()
 	}
@@ -188,6 +209,7 @@
 		if a.Outcome == Compacted {
 			return nil, after, compacted()
 		}
+		r.reportDetour(Detour{Kind: r.Kind(), Path: a.Path, After: after, Version: a.Version, StoreErr: err})
 		return a.Changes, a.Version, nil
 	}
 	r.cache.MarkUnreachable()
@@ -212,10 +234,13 @@
 	}
 	changes, version, err := r.source.Changes(ctx, after, wait)
 	if err != nil {
-		r.cache.MarkDisconnected()
+		if !storeAnswered(err) {
+			r.cache.MarkDisconnected()
+		}
 		return nil, after, err
 	}
 	r.cache.Apply(changes, version)
+	r.lastDetour = Detour{}
 	return changes, version, nil
 }
 
@@ -244,6 +269,16 @@
 	errNoPath         = errors.New("no VM has a path to the store")
 )
 
+// storeAnswered reports whether a call failed although the store serves this VM: the
+// store has changes that the call could not return. The answer of another VM, which may be
+// in the same state, must not replace such an error.
+func storeAnswered(err error) bool {
+	var dropped *platform.Error
+	var ended *watch.Error
+	return errors.As(err, &dropped) && dropped.Kind == platform.Compacted ||
+		errors.As(err, &ended) && ended.Kind == watch.Behind
+}
+
 // isSilent reports whether a call failed because the store did not respond.
 func isSilent(err error) bool {
 	var w *watch.Error
@@ -284,6 +319,22 @@
 	return a, true
 }
 
+// reportDetour reports a detour unless it resembles the last one.
+func (r *Reader[T]) reportDetour(d Detour) {
+	last := r.lastDetour
+	r.lastDetour = d
+	if r.ReadThroughOthers != nil && (!slices.Equal(d.Path, last.Path) || errorText(d.StoreErr) != errorText(last.StoreErr)) {
+		r.ReadThroughOthers(d)
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 func (r *Reader[T]) reportUnreadable(name string, err error) {
 	if r.Unreadable != nil {
 		r.Unreadable(r.Kind(), name, err)
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -78,6 +78,8 @@
 	}
 	r.replicas.Unreadable, r.configurations.Unreadable = v.logUnreadable, v.logUnreadable
 	r.zonesOut.Unreadable, r.presets.Unreadable = v.logUnreadable, v.logUnreadable
+	r.replicas.ReadThroughOthers, r.configurations.ReadThroughOthers = v.logDetour, v.logDetour
+	r.zonesOut.ReadThroughOthers, r.presets.ReadThroughOthers = v.logDetour, v.logDetour
 	if d.FirstStart {
 		r.replicas.InitialListWait, r.configurations.InitialListWait = mirror.InitialListWait, mirror.InitialListWait
 		r.zonesOut.InitialListWait, r.presets.InitialListWait = mirror.InitialListWait, mirror.InitialListWait
@@ -97,6 +99,11 @@
 	v.log.Warn().Str("kind", kind).Str("name", name).Err(err).Msg("mirrored-entry-not-read")
 }
 
+func (v *VM) logDetour(d mirror.Detour) {
+	v.log.Warn().Str("kind", d.Kind).Interface("path", d.Path).Uint64("after", uint64(d.After)).
+		Uint64("version", uint64(d.Version)).AnErr("store-error", d.StoreErr).Msg("read-through-others")
+}
+
 // guarded returns a source whose calls are cancelled when the prober detects that the
 // store no longer responds.
 func guarded[T any](source watch.Probeable[T], prober *watch.Prober) watch.Source[T] {
