node: do not retry a routed request that crashes replicas

Each crash took other callers' requests with it.

Cause: every broken connection of a routed request was retried; routes left the tracker of crashing requests out. VMs whose list comes from the platform also sent their news to a transport that drops it.

Evidence: the trails show "broken" and the next attempt within a millisecond, so these are no hedges; upstream-evidence with kind "crash" never came, so nothing was recorded that could have been forgotten or not shared. That line now names the request.

Why this works: a broken connection counts as a crash once the replica's process is removed from the list within 10 s without a reply or a notice in between. After two crashes the request reaches one replica only, on every VM: they exchange news of crashes, and nothing else. A lost reply keeps its retry.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -70,7 +70,8 @@
 	// Discovers is true if routes and replicas come from discovery. The VM is not
 	// ready until it has received both.
 	Discovers bool
-	// Peerless disables gossip: the roster comes from the platform's list alone.
+	// Peerless restricts gossip to news of requests that crash upstreams: the roster comes
+	// from the platform's list alone.
 	Peerless bool
 	// QuotaLimits limit the retries and hedges of all VMs together at each discovered
 	// service.
@@ -305,6 +306,9 @@
 		return
 	}
 	c.viewStale = true
+	if c.config.Peerless && item.Kind != news.Crash {
+		return
+	}
 	c.newsOutbox.Add(item.Key, item, transmitLimit)
 	c.schedulePush(now)
 }
@@ -448,6 +452,9 @@
 
 // push sends queued updates to random neighbours.
 func (c *Core) push(now ident.Instant) {
+	if c.config.Peerless && c.newsOutbox.Len() == 0 {
+		return
+	}
 	for _, m := range c.roster.Sample(c.random, pushFanout, "") {
 		c.send(now, m, &Message{Kind: Push})
 	}
--- a/core/control/discovery_test.go
+++ b/core/control/discovery_test.go
@@ -8,6 +8,8 @@
 	"carawaycross.example/carawaycross/core/config"
 	"carawaycross.example/carawaycross/core/control"
 	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/news"
+	"carawaycross.example/carawaycross/core/node"
 	"carawaycross.example/carawaycross/core/preset"
 	"carawaycross.example/carawaycross/core/retry"
 	"carawaycross.example/carawaycross/core/roster"
@@ -113,3 +115,53 @@
 		t.Fatal("the older presets took effect")
 	}
 }
+
+// TestVMsOfAPlatformExchangeCrashes guards against VMs whose list comes from the platform
+// and of which each retried a crashing request until it had crashed replicas through it.
+func TestVMsOfAPlatformExchangeCrashes(t *testing.T) {
+	core, _ := newDiscoveringCore(t)
+	core.VMsListed(start, []control.ListedVM{
+		{Name: "entry-0", Zone: "baden"}, {Name: "entry-1", Zone: "baden", Address: "b"}, {Name: "entry-2", Zone: "baden", Leaving: true},
+	})
+	core.Tick(start.Add(time.Second))
+	for _, a := range core.Drain(nil) {
+		if a.Kind == control.Send {
+			t.Fatalf("sent %+v without news of a crash", a.Message)
+		}
+	}
+	const crashing = 0xc0ffee
+	for i := range 2 {
+		at := start.Add(time.Duration(i+2) * time.Second)
+		core.Report(at, node.News{Kind: node.Lost, Replica: "a"})
+		core.Report(at, node.News{Kind: node.Crash, Replica: "a", Fingerprint: crashing, Crashes: 1})
+	}
+	core.Tick(start.Add(4 * time.Second))
+	var message *control.Message
+	for _, a := range core.Drain(nil) {
+		if a.Kind == control.Send {
+			message = a.Message
+		}
+	}
+	if message == nil || len(message.News) != 1 || message.News[0].Kind != news.Crash {
+		t.Fatalf("sent %+v, expected the news of the crashes alone", message)
+	}
+	message.Members = []roster.Member{{VM: "entry-9", Zone: "baden"}}
+	message.News = append(message.News, news.Item{
+		Key: news.Key{Kind: news.Leaving, Subject: "a", Origin: "entry-0"}, Sequence: 1, Expires: start.Add(time.Hour),
+	})
+	other := control.New(start, control.Config{
+		Self: roster.Member{VM: "entry-1", Zone: "baden", Incarnation: 1}, Discovers: true, Peerless: true,
+	})
+	other.ReplicasListed(start, []catalogue.Replica{{ID: "a", Service: "s", Zone: "baden", Slots: 4}})
+	other.Receive(start.Add(4*time.Second), message)
+	v := latestView(other)
+	if _, ok := v.Poisoned.Get(crashing); !ok {
+		t.Error("the crashing request is not known to the other VM")
+	}
+	if _, ok := v.Members.Get("entry-9"); ok {
+		t.Error("a VM that the platform does not list became a member")
+	}
+	if v.Services[0].Replicas[0].Leaving {
+		t.Error("a replica is leaving that the platform lists as ready")
+	}
+}
--- a/core/control/gossip.go
+++ b/core/control/gossip.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/news"
 	"carawaycross.example/carawaycross/core/roster"
 )
 
@@ -62,6 +63,11 @@
 
 // Receive processes a message from another VM.
 func (c *Core) Receive(now ident.Instant, m *Message) {
+	if c.config.Peerless {
+		c.mergeCrashNews(now, m)
+		c.processChanges(now)
+		return
+	}
 	c.recordVersion(now, m)
 	c.merge(now, m)
 	switch m.Kind {
@@ -91,6 +97,16 @@
 	c.versions[m.From] = v
 }
 
+// mergeCrashNews applies the news of crashing requests of a message. All else comes from
+// the platform.
+func (c *Core) mergeCrashNews(now ident.Instant, m *Message) {
+	for _, item := range m.News {
+		if item.Kind == news.Crash && item.Origin != c.config.Self.VM {
+			c.addNews(now, item)
+		}
+	}
+}
+
 // merge applies the members, news and configuration changes of a message.
 func (c *Core) merge(now ident.Instant, m *Message) {
 	for _, member := range m.Members {
@@ -207,6 +223,11 @@
 // has only reported older versions.
 func (c *Core) send(_ ident.Instant, to roster.Member, m *Message) {
 	m.From = c.config.Self.VM
+	if c.config.Peerless {
+		m.News = c.newsOutbox.Take(maxNewsPerMessage)
+		c.actions = append(c.actions, Action{Kind: Send, To: to.VM, Address: to.Address, Message: m})
+		return
+	}
 	m.Digest = Digest{c.configuration.Version, c.roster.Hash()}
 	if m.Kind == Push && m.Changes == nil && m.Configuration == nil {
 		if known := c.versions[to.VM].Version; known < c.configuration.Version {
--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -216,6 +216,9 @@
 		if reply.Outcome.NotRun() {
 			p.notRunCount++
 		}
+		if reply.Outcome == replica.Unsent {
+			p.unsentCount++
+		}
 		c.handleReply(now, q, &a, &reply)
 	}
 	c.serveQueue(now, a.svc, a.shard)
@@ -225,6 +228,9 @@
 func (c *Core) recordOutcome(now ident.Instant, a *attempt, reply *Reply) {
 	r := a.replica
 	r.Ended(a.sent)
+	if reply.Outcome != replica.Broken && reply.Outcome != replica.Unsent && c.losses.Len() > 0 {
+		c.losses.Clear(processOf(a))
+	}
 	defer c.applyRequests(now, a, reply)
 	if !c.isEvidence(a, reply.Outcome) {
 		return
--- a/core/node/core.go
+++ b/core/node/core.go
@@ -80,6 +80,8 @@
 	timers   container.Timers[timer]
 	ledger   *booking.Ledger
 	poison   poison.Tracker
+	// losses holds the routed requests that may have crashed a replica which is listed yet.
+	losses poison.Losses
 	// profiles has at most maxProfiles entries, one per route.
 	profiles map[ident.RouteID]*profile
 	splits   route.Splits
@@ -172,6 +174,7 @@
 			delete(c.services, id)
 		}
 	}
+	c.confirmCrashes(now)
 }
 
 // Arrive starts a query for a caller's request and returns its ID, which the actions
--- a/core/node/passing.go
+++ b/core/node/passing.go
@@ -75,12 +75,12 @@
 	if !q.repeatable() {
 		q.allowedAttempts = 1
 	}
-	c.addTargetParts(q)
+	c.addTargetParts(now, q)
 	return c.admitRouted(now, q)
 }
 
 // addTargetParts creates one part for each service of the target.
-func (c *Core) addTargetParts(q *query) {
+func (c *Core) addTargetParts(now ident.Instant, q *query) {
 	clear(q.parts)
 	q.parts = q.parts[:0]
 	for _, id := range q.target.Services {
@@ -91,6 +91,7 @@
 		}
 		q.parts = append(q.parts, p)
 	}
+	c.markCrashingParts(now, q)
 	q.unsettledCount, q.coveredCount = len(q.parts), 0
 }
 
@@ -271,6 +272,8 @@
 		q.failureReply = reply.Message
 	case replica.Unsent:
 		p.svc.quota.Refund(now)
+	case replica.Broken:
+		c.recordBroken(now, q, a)
 	default:
 	}
 	reason := coverageReason(reply.Outcome)
@@ -341,6 +344,9 @@
 		reason = noUpstream
 	}
 	a.Refusal = &Refusal{Outcome: booking.MayHaveRun, Reason: reason, Detail: string(first)}
+	if q.crashes() {
+		a.Refusal.Detail += ", not retried: the request crashes replicas"
+	}
 	if q.neverRan() {
 		a.Refusal.Outcome = booking.NotRun
 		a.Refusal.RetryAfter = c.retryAfter(now, q, reason)
--- a/core/node/query.go
+++ b/core/node/query.go
@@ -43,10 +43,14 @@
 	// The first attemptCount entries of tried are the replicas of all attempts so far.
 	tried        [maxAttempts]*replica.State
 	attemptCount int
-	// notRunCount counts the attempts that certainly did not run.
-	notRunCount int
-	servedBy    ident.ReplicaID
-	result      []byte
+	// notRunCount counts the attempts that certainly did not run, and unsentCount those
+	// of them that reached no replica.
+	notRunCount, unsentCount int
+	// crashes is true if the request is known to crash the replicas that run this part,
+	// which then reaches at most one more.
+	crashes  bool
+	servedBy ident.ReplicaID
+	result   []byte
 	// message is the complete reply to a covered part of a routed query.
 	message      *passage.Reply
 	missingBelow []ident.ShardID
@@ -56,6 +60,9 @@
 
 // attemptsExhausted reports whether the part may not start another attempt.
 func (p *part) attemptsExhausted(allowed int) bool {
+	if p.crashes && p.attemptCount > p.unsentCount {
+		return true
+	}
 	return p.attemptCount-p.notRunCount >= allowed || p.attemptCount >= maxAttempts
 }
 
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/passage"
 )
 
 // A Fingerprint identifies the service and the body of a request. It does not
@@ -23,6 +24,20 @@
 	return Fingerprint(d.Sum64())
 }
 
+// NewRoutedFingerprint returns the fingerprint of a routed request. It depends on all that
+// comes again when the caller sends the request again, and not on its ID. For a request to
+// many shards, shard is the service of one of them; otherwise it is empty.
+func NewRoutedFingerprint(shard ident.ServiceID, r *passage.Request) Fingerprint {
+	d := xxhash.New()
+	// Writes to a digest never fail.
+	for _, field := range []string{string(shard), r.Method, r.Host, r.Target} {
+		_, _ = d.WriteString(field)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.Body)
+	return Fingerprint(d.Sum64())
+}
+
 const (
 	// Threshold is the number of crashes after which a request is refused.
 	Threshold = 2
@@ -72,6 +87,9 @@
 	return ok && s.until > now
 }
 
+// Len returns the number of requests that are suspected.
+func (t *Tracker) Len() int { return len(t.suspects) }
+
 // Clear removes the crashes of a request that has since run without a crash.
 func (t *Tracker) Clear(f Fingerprint) { delete(t.suspects, f) }
 
--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -100,11 +100,9 @@
 func (noClaims) Close() error { return nil }
 
 // startDiscovery starts the servers and the readers of a VM whose routes and replicas
-// come from the store, and adds the VM to the list of VMs.
+// come from the store, and adds the VM to the list of VMs. startMirrors must have been
+// called.
 func (v *VM) startDiscovery(ctx context.Context, self roster.Member) error {
-	if err := v.startMirrors(ctx, &self); err != nil {
-		return err
-	}
 	d, m := v.discovery, v.settings.Message.Discovery
 	front, err := net.Listen("tcp", m.Front)
 	if err != nil {
--- a/serve/vm/loop.go
+++ b/serve/vm/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -100,7 +101,7 @@
 		case e := <-l.inbox:
 			l.handle(e)
 		case n := <-l.news:
-			l.log.Info().Str("kind", string(n.Kind)).Str("replica", string(n.Replica)).Msg("upstream-evidence")
+			l.logEvidence(n)
 			l.core.Report(l.clock.Now(), n)
 		case <-timer.C:
 		case <-ctx.Done():
@@ -112,6 +113,14 @@
 	}
 }
 
+func (l *controlLoop) logEvidence(n node.News) {
+	line := l.log.Info().Str("kind", string(n.Kind)).Str("replica", string(n.Replica))
+	if n.Kind == node.Crash {
+		line.Str("request-fingerprint", strconv.FormatUint(uint64(n.Fingerprint), 16))
+	}
+	line.Msg("upstream-evidence")
+}
+
 func (l *controlLoop) handle(e event) {
 	now := l.clock.Now()
 	switch e.kind {
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -43,7 +43,7 @@
 
 // startMirrors creates the readers and starts the transport that receives the questions
 // of other VMs. It sets self.Address.
-func (v *VM) startMirrors(_ context.Context, self *roster.Member) error {
+func (v *VM) startMirrors(self *roster.Member) error {
 	d := v.discovery
 	self.Address = v.settings.Message.Vm.Listen
 	m := &mirrors{
@@ -92,6 +92,7 @@
 	if v.peers, err = peer.Listen(self.Address, m.identity, peerHandler{v}); err != nil {
 		return &Error{"peers", CannotStart, err}
 	}
+	v.control.peers = v.peers
 	return nil
 }
 
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -162,7 +162,7 @@
 		})
 	}
 	v.newTraffic(self.VM, incarnation, o.Policies)
-	if err := v.startPeers(); err != nil {
+	if err := v.startPeers(&self); err != nil {
 		cancel()
 		return nil, errors.Join(err, v.claimer.Close(), v.closeListeners())
 	}
@@ -218,7 +218,12 @@
 	return err
 }
 
-func (v *VM) startPeers() error {
+// startPeers starts the transport to other VMs, if there is one. It must be called before
+// the control loop starts, which sends through it.
+func (v *VM) startPeers(self *roster.Member) error {
+	if v.discovery != nil {
+		return v.startMirrors(self)
+	}
 	m := v.settings.Message.Peers
 	if m.Listen == "" {
 		return nil
