body: leave room for small replies beside endless ones

What callers saw: while replicas of one service sent bytes without end, requests to sound services got 502.

Cause: bodies without end filled the budget, and the next reply found no room; a failed reservation also counted for a moment.

Evidence: the sound replies failed with over-budget, and were counted as oversized.

Why this works: a body beside others may take twice what is left, so N endless ones leave 1/(2N+1) of the budget.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -34,8 +34,10 @@
 	return fmt.Sprintf("body: %s: %s: allowed: %d bytes", e.Op, e.Kind, e.Limit)
 }
 
-// A Budget bounds the bytes that a process holds in bodies. The zero value has no
-// bound. Its methods may be called from several goroutines.
+// A Budget bounds the bytes that a process holds in bodies, and keeps room for new ones: a
+// body beside others may grow to maxShareOfRest times the bytes that are left. However many
+// bodies have no end, a small one finds room. The zero value has no bound. Its methods may be called from
+// several goroutines.
 type Budget struct {
 	// limit is the bound; 0 means none.
 	limit atomic.Int64
@@ -55,14 +57,24 @@
 // Used returns the number of reserved bytes.
 func (b *Budget) Used() ident.Bytes { return ident.Bytes(b.used.Load()) }
 
-// reserve reserves n bytes, or none and returns false if they exceed the limit.
-func (b *Budget) reserve(n ident.Bytes) bool {
-	limit := b.limit.Load()
-	if used := b.used.Add(int64(n)); limit > 0 && used > limit {
-		b.used.Add(-int64(n))
-		return false
+// maxShareOfRest bounds a body as a multiple of the bytes that are left beside it. n bodies
+// without end then leave 1/(n*maxShareOfRest+1) of the budget.
+const maxShareOfRest = 2
+
+// grow reserves n bytes for a body that then takes size bytes, or none and returns false if
+// there is no room.
+func (b *Budget) grow(n, size ident.Bytes) bool {
+	for {
+		limit, before := b.limit.Load(), b.used.Load()
+		used := before + int64(n)
+		alone := used == int64(size) && used <= limit
+		if limit > 0 && !alone && int64(size) > maxShareOfRest*(limit-used) {
+			return false
+		}
+		if b.used.CompareAndSwap(before, used) {
+			return true
+		}
 	}
-	return true
 }
 
 // Release returns n reserved bytes to the budget.
@@ -94,7 +106,7 @@
 			if ident.Bytes(len(text)) > limit {
 				return text, reserved, &Error{"read", TooLong, limit}
 			}
-			if !budget.reserve(size - reserved) {
+			if !budget.grow(size-reserved, size) {
 				return text, reserved, &Error{"read", OverBudget, ident.Bytes(budget.limit.Load())}
 			}
 			reserved = size
