--- a/cmd/carawaycross/entry.go
+++ b/cmd/carawaycross/entry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -57,6 +58,7 @@
 		return err
 	}
 	log.Info().Strs("fields", boot.Unknown).Msg("settings-ignored")
+	limitHeap(boot)
 	options := []carawaycross.Option{carawaycross.WithLog(log)}
 	switch c.policies {
 	case "product":
@@ -74,6 +76,14 @@
 	return entry.Stop(context.WithoutCancel(ctx))
 }
 
+// limitHeap sets the soft limit of the runtime's memory. Garbage of large replies would
+// otherwise double the heap.
+func limitHeap(boot *platform.Boot) {
+	if boot.HeapLimit > 0 {
+		debug.SetMemoryLimit(int64(boot.HeapLimit))
+	}
+}
+
 // reloadOnHangup reads and checks the settings file at each SIGHUP and puts it into force,
 // until the context is done. The VM keeps its settings if the file has an error.
 func reloadOnHangup(ctx context.Context, log zerolog.Logger, path string, hangups <-chan os.Signal, v *vm.VM) {
@@ -85,6 +95,7 @@
 				log.Error().Err(err).Msg("settings-not-reloaded")
 				continue
 			}
+			limitHeap(boot)
 			restart := v.Reload(ctx, boot.Settings)
 			log.Info().Str("path", path).Strs("at-next-start", restart).Msg("settings-reloaded")
 		case <-ctx.Done():
