node: refuse requests that the rest of a planned stop is too short for

What callers saw: a request that may run once and whose body came late in the grace ran on a replica and was answered 504.

Cause: requests were admitted by their own deadline, which lies after the stop's end.

Evidence: requests on connections without a request are never passed on, since the server closes these; only requests that had begun were.

Why this works: the core has the end of the stop and refuses as not run what does not fit.

--- a/core/node/core.go
+++ b/core/node/core.go
@@ -31,6 +31,8 @@
 	// An attempt is slow from slowFactor times the median latency on. The hedge delay is
 	// at most that.
 	slowFactor = 2
+	// stopQuantile is the latency quantile for which there must be time left before a stop.
+	stopQuantile ident.Share = 0.99
 )
 
 // A Config holds the identity and the injected dependencies of a Core.
@@ -90,8 +92,10 @@
 	departures replica.Departures
 	// resumedAt is when the VM last continued after a stall.
 	resumedAt ident.Instant
-	// stopped is true after Stop: new requests are refused.
+	// stopped is true after Stop: new requests are refused. stopsAt is when Stop will be
+	// called; 0 if that is not planned.
 	stopped bool
+	stopsAt ident.Instant
 	// cutOff is true while the VM directs its callers to other VMs.
 	cutOff bool
 	// splitPhase, from 0 to 1, offsets the order of targets in the splits of this VM.
@@ -337,6 +341,16 @@
 	}
 }
 
+// Leave starts a graceful stop, which Stop ends at an instant. Until then a routed request
+// is refused if its reply is not expected by that instant.
+func (c *Core) Leave(stopsAt ident.Instant) { c.stopsAt = stopsAt }
+
+// stopsBefore reports whether the VM stops before a reply can be expected to a routed query
+// that waits for the given time.
+func (c *Core) stopsBefore(now ident.Instant, q *query, wait time.Duration) bool {
+	return c.stopsAt > 0 && now.Add(wait+q.profile.latency.Quantile(now, stopQuantile)) > c.stopsAt
+}
+
 // Stop ends all queries with the results received so far and refuses later ones. It is
 // called when the time for a graceful stop is nearly over, so that each caller gets an
 // answer before its connection ends.
--- a/core/node/crash_test.go
+++ b/core/node/crash_test.go
@@ -233,3 +233,20 @@
 		t.Fatalf("reached %d replicas, expected 2", n)
 	}
 }
+
+// TestNoRequestIsTakenTooLateInAStop guards against requests that are sent to a replica so
+// late in a planned stop that they must be broken off.
+func TestNoRequestIsTakenTooLateInAStop(t *testing.T) {
+	w := newCrashWorld("desk")
+	for range 100 {
+		w.run(deskRoute(), "/request", replica.OK)
+	}
+	w.core.Leave(w.now.Add(time.Second))
+	if n := len(w.run(deskRoute(), "/request", replica.OK)); n != 1 {
+		t.Fatalf("early in the stop, a request reached %d replicas, expected 1", n)
+	}
+	w.now = w.now.Add(time.Second - 2*time.Millisecond)
+	if n := len(w.run(deskRoute(), "/request", replica.OK)); n != 0 {
+		t.Fatalf("at the end of the stop, a request reached %d replicas, expected none", n)
+	}
+}
--- a/core/node/passing.go
+++ b/core/node/passing.go
@@ -116,6 +116,9 @@
 		return noUpstream, "too few shards have a replica that may be used"
 	}
 	slices.SortFunc(waits, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+	if c.stopsBefore(now, q, waits[needed-1]) {
+		return admission.NotReady, "this VM stops before a reply is expected"
+	}
 	r := admission.Request{
 		Rank: q.rank, Ranks: len(q.preset.Classes),
 		InFlight: c.inFlight, MaxInFlight: q.preset.QueriesInFlight, QueueFull: queuesWithRoom < needed,
--- a/serve/traffic/loop.go
+++ b/serve/traffic/loop.go
@@ -68,6 +68,7 @@
 	issueRequested
 	inspectRequested
 	cutOffChanged
+	leaveRequested
 	stopRequested
 )
 
@@ -83,6 +84,7 @@
 	ticket  chan ident.RequestKey
 	report  chan node.Report
 	cutOff  bool
+	stopsAt ident.Instant
 }
 
 // A waiter is a caller that waits for its answer.
@@ -156,6 +158,12 @@
 // SetCutOff sets whether the VM is cut off from other availability zones.
 func (l *Loop) SetCutOff(cutOff bool) { l.post(event{kind: cutOffChanged, cutOff: cutOff}) }
 
+// Leave starts a graceful stop, at whose end Stop is called. Requests whose replies are not
+// expected by then are refused.
+func (l *Loop) Leave(stopsAt ident.Instant) {
+	l.post(event{kind: leaveRequested, stopsAt: stopsAt})
+}
+
 // Stop ends all requests with the results received so far and refuses later ones.
 func (l *Loop) Stop() { l.post(event{kind: stopRequested}) }
 
@@ -278,7 +286,7 @@
 		switch e := <-l.inbox; e.kind {
 		case replied, claimed, forwarded:
 			l.workers--
-		case arrived, cancelled, issueRequested, inspectRequested, cutOffChanged, stopRequested:
+		case arrived, cancelled, issueRequested, inspectRequested, cutOffChanged, leaveRequested, stopRequested:
 		}
 	}
 }
@@ -335,6 +343,8 @@
 		e.report <- core.Report(now)
 	case cutOffChanged:
 		core.SetCutOff(e.cutOff)
+	case leaveRequested:
+		l.config.Core.Leave(e.stopsAt)
 	case stopRequested:
 		core.Stop(now)
 	}
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -343,6 +343,7 @@
 	v.control.post(ctx, event{kind: stopping})
 	v.withdrawEntry(ctx)
 	margin := min(answerMargin, time.Duration(answerMarginFraction*float64(within)))
+	v.traffic.Leave(v.clock.Now().Add(within - margin))
 	lastAnswers := time.AfterFunc(within-margin, v.traffic.Stop)
 	defer lastAnswers.Stop()
 	clock.Sleep(ctx, times.leaveNotice)
