soak: check the bounds of changes and repeats, and play series

The soak checks each VM in touch for the newest route and for the removed one, and the repeats of each service in each window, as the users' rules put them. New faults: lost replies everywhere, all VMs killed, also while the store is down, a rollout, a store that refuses some VMs, history dropped before a change was heard.

--- a/cmd/carawaycross/soak.go
+++ b/cmd/carawaycross/soak.go
@@ -51,8 +51,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d faults, %d promises broken\n",
-			seed, report.Requests, report.Served, report.Faults, len(report.Broken))
+		fmt.Printf("seed %d: %d requests, %d served, %d faults, %d checks of changes, %.2f of the repeats allowed, %d promises broken\n",
+			seed, report.Requests, report.Served, report.Faults, report.Checks, report.MostRepeats, len(report.Broken))
 		if len(report.Broken) > 0 {
 			failedSeeds++
 			for _, line := range append(faultLog, report.Broken...) {
--- a/proof/soak/client.go
+++ b/proof/soak/client.go
@@ -20,8 +20,10 @@
 
 const (
 	recordSize = 16
-	// thinkTime is the mean pause of a client between two requests.
-	thinkTime = 15 * time.Millisecond
+	// thinkTime is the mean pause of a client between two requests. With calmThinkTime
+	// there are so few requests that the fixed part of the limits on repeats counts most.
+	thinkTime     = 15 * time.Millisecond
+	calmThinkTime = 300 * time.Millisecond
 )
 
 // A call is one request of a client and its outcome.
@@ -97,7 +99,7 @@
 
 // runClient sends requests to one VM over its own connections until the context is
 // done. It reuses an open connection until the VM closes it.
-func runClient(ctx context.Context, l *callLog, vm, address string, shards int, seed uint64) {
+func runClient(ctx context.Context, l *callLog, vm, address string, shards int, seed uint64, think time.Duration) {
 	random := rand.New(rand.NewPCG(seed, 3))
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
 	defer transport.CloseIdleConnections()
@@ -107,7 +109,7 @@
 		c.status, c.err = send(transport, l, address, shards, &k, &c)
 		c.ended = time.Now()
 		l.add(c)
-		pause := time.Duration(random.ExpFloat64() * float64(thinkTime))
+		pause := time.Duration(random.ExpFloat64() * float64(think))
 		if c.status != http.StatusOK {
 			pause += 5 * thinkTime
 		}
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,12 +37,33 @@
 		{"store", 3, (*run).setStoreFaults},
 		{"replica-proxy", 4, (*run).disruptReplicaProxy},
 		{"replica", 4, (*run).setReplicaFaults},
+		{"lose-replies", 1, (*run).loseReplies},
 		{"leave", 2, (*run).leave},
-		{"configure", 3, (*run).configure},
+		{"configure", 4, (*run).configure},
+		{"drop-history", 1, (*run).dropHistory},
+		{"refuse-some", 1, (*run).refuseSome},
+		{"kill-all", 1, (*run).killAll},
+		{"kill-all-without-store", 1, (*run).killAllWithoutStore},
+		{"rollout", 1, (*run).rollout},
 		{"zone-out", 1, (*run).zoneOut},
 	}
 }
 
+// schedule schedules the faults of a series.
+func (r *run) schedule(series []Step) error {
+	for _, step := range series {
+		i := slices.IndexFunc(faultKinds(), func(f faultKind) bool { return f.name == step.Fault })
+		if i < 0 {
+			return fmt.Errorf("no fault has the name %q", step.Fault)
+		}
+		r.scheduleAfter(step.At, func() {
+			r.faultCount++
+			r.reportFault("%s %s", step.Fault, faultKinds()[i].inject(r))
+		})
+	}
+	return nil
+}
+
 // injectFault injects one fault of a random kind and reports it.
 func (r *run) injectFault() {
 	kinds := faultKinds()
@@ -128,16 +149,21 @@
 // kill ends a VM with SIGKILL and restarts it after a random time.
 func (r *run) kill() string {
 	_, vm := r.randomVM()
+	r.killVM(vm, r.randomDuration())
+	return vm.boot.VM
+}
+
+// killVM ends a VM with SIGKILL and restarts it after a time.
+func (r *run) killVM(vm *process, after time.Duration) {
 	r.signal(vm, syscall.SIGKILL)
 	life := vm.incarnation()
-	r.scheduleAfter(r.randomDuration(), func() {
+	r.scheduleAfter(after, func() {
 		if vm.incarnation() != life {
 			return
 		}
 		vm.awaitEnd(time.Second)
 		r.restart(vm)
 	})
-	return vm.boot.VM
 }
 
 // pause stops a VM with SIGSTOP and later resumes it.
@@ -222,6 +248,21 @@
 	return fmt.Sprintf("%+v on %d", f, count)
 }
 
+// loseReplies lets all replicas lose many of their replies, longer than a window of the
+// limits on repeats.
+func (r *run) loseReplies() string {
+	for _, replica := range r.site.Replicas {
+		replica.SetFaults(standin.ReplicaFaults{LoseShare: 0.4})
+	}
+	after := r.site.Boots[0].QuotaLimits.Span + r.randomDuration()
+	r.scheduleAfter(after, func() {
+		for _, replica := range r.site.Replicas {
+			replica.SetFaults(standin.ReplicaFaults{})
+		}
+	})
+	return fmt.Sprint("for ", after)
+}
+
 // leave marks a replica's entry as leaving, or withdraws it, and later restores it.
 // Undisturbed VMs must send it no requests after drainWithin.
 func (r *run) leave() string {
@@ -262,8 +303,8 @@
 	return true
 }
 
-// configure writes a configuration with a changed route. If no fault disturbs the
-// deployment, every VM must serve the route within applyWithin.
+// configure writes a configuration in which a new route replaces the one of the last
+// change. See checkApplied.
 func (r *run) configure() string {
 	c := r.site.Configuration
 	c.Version += 1 + 2*c.Version%3
@@ -274,18 +315,8 @@
 	if err := r.site.Configure(c); err != nil {
 		r.log.reportBroken("configure: %v", err)
 	}
-	at, version := time.Now(), c.Version
-	r.scheduleAfter(applyWithin, func() {
-		if r.site.Configuration.Version != version || !r.undisturbedSince(at) {
-			return
-		}
-		for _, vm := range r.vms {
-			if got := vm.status(fleet.DeskHost, extra.Prefix+"x", r.log.nextID()); got == http.StatusNotFound {
-				r.log.reportBroken("%s lacks version %d after %v", vm.boot.VM, version, applyWithin)
-			}
-		}
-	})
-	return fmt.Sprint("version ", version)
+	r.configuredAt, r.removedPrefix, r.extraPrefix = time.Now(), r.extraPrefix, extra.Prefix
+	return fmt.Sprint("version ", c.Version)
 }
 
 // zoneOut takes a random zone out for a random time.
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -12,6 +12,7 @@
 	"os"
 	"time"
 
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/proof/fleet"
 	"carawaycross.example/carawaycross/proof/standin"
 )
@@ -49,11 +50,19 @@
 	pollInterval   = 20 * time.Millisecond
 )
 
+// A Step injects a fault at a time after the start.
+type Step struct {
+	At    time.Duration
+	Fault string
+}
+
 // A Config configures a soak.
 type Config struct {
 	Seed uint64
 	// Duration is how long faults are injected.
 	Duration time.Duration
+	// Series replaces the random faults unless it is empty. Duration is then not used.
+	Series []Step
 	// Binary is the path of the program, Folder the one for settings and logs.
 	Binary, Folder string
 	VMs            int
@@ -69,6 +78,11 @@
 type Report struct {
 	Seed                     uint64
 	Requests, Served, Faults int
+	// Checks counts the checks of a VM in touch for the newest configuration.
+	Checks int
+	// MostRepeats is the most repeats that a service got in a window, as a share of those
+	// allowed.
+	MostRepeats ident.Share
 	// Broken describes the broken promises.
 	Broken []string
 }
@@ -92,6 +106,16 @@
 	leaving map[*standin.Replica]time.Time
 	// storeDisturbedAt is when a fault of the store last began or ended.
 	storeDisturbedAt time.Time
+	// configuredAt is when the last change was acknowledged. extraPrefix is of the route
+	// that it added and removedPrefix of the one that it removed.
+	configuredAt               time.Time
+	extraPrefix, removedPrefix string
+	// appliedAt is when checkApplied last ran, and appliedChecks counts the VMs that it
+	// asked.
+	appliedAt     time.Time
+	appliedChecks int
+	// mostRepeats is the most repeats of a service in a window, as a share of those allowed.
+	mostRepeats ident.Share
 }
 
 // A scheduledAction ends a fault or makes a check at a given time.
@@ -112,26 +136,36 @@
 	}
 	clients, stop := context.WithCancel(ctx)
 	defer stop()
+	think := thinkTime
+	if c.Seed%3 == 0 {
+		think = calmThinkTime
+	}
 	done := make(chan struct{}, len(r.vms)*clientsPerVM)
 	for i, vm := range r.vms {
 		for n := range clientsPerVM {
 			go func() {
 				runClient(clients, &r.log, vm.boot.VM, fmt.Sprintf("%s:%d", vm.boot.IP, vm.boot.Front),
-					r.site.Spec.Shards, c.Seed*1000+uint64(i*clientsPerVM+n))
+					r.site.Spec.Shards, c.Seed*1000+uint64(i*clientsPerVM+n), think)
 				done <- struct{}{}
 			}()
 		}
 	}
-	r.injectFaults(ctx)
+	if len(c.Series) == 0 {
+		r.injectFaults(ctx)
+	} else if err := r.schedule(c.Series); err != nil {
+		return Report{}, &Error{"schedule", CannotRun, err}
+	}
 	r.awaitFaultsEnd()
+	r.awaitChangeInForce()
 	r.checkRecovery(ctx)
 	stop()
 	for range cap(done) {
 		<-done
 	}
 	r.checkRuns()
+	r.checkBudget()
 	requests, served := r.log.counts(r.began)
-	return Report{c.Seed, requests, served, r.faultCount, r.log.brokenPromises}, nil
+	return Report{c.Seed, requests, served, r.faultCount, r.appliedChecks, r.mostRepeats, r.log.brokenPromises}, nil
 }
 
 func (r *run) start() error {
@@ -247,6 +281,10 @@
 	for _, do := range due {
 		do()
 	}
+	if now.Sub(r.appliedAt) > applyCheckInterval {
+		r.appliedAt = now
+		r.checkApplied()
+	}
 }
 
 // awaitFaultsEnd waits until every fault has ended and every check has run.
--- a/proof/standin/replica.go
+++ b/proof/standin/replica.go
@@ -56,6 +56,12 @@
 	Body               string
 }
 
+// An Arrival is one request that reached a Replica, which may have refused it.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // A Replica is a stand-in for one replica of a route's service. See NewReplica.
 type Replica struct {
 	config ReplicaConfig
@@ -66,10 +72,8 @@
 	faults ReplicaFaults
 	queued int
 	runs   []Run
-	// lastArrival is the time of the last request; arrivals counts the requests.
-	// Both include refused ones.
-	lastArrival time.Time
-	arrivals    int
+	// received holds all requests in the order of their arrival.
+	received []Arrival
 
 	server *http.Server
 	done   chan error
@@ -113,7 +117,17 @@
 func (r *Replica) Arrivals() (int, time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.arrivals, r.lastArrival
+	if len(r.received) == 0 {
+		return 0, time.Time{}
+	}
+	return len(r.received), r.received[len(r.received)-1].At
+}
+
+// Received returns the requests that reached the replica, in order, including refused ones.
+func (r *Replica) Received() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.received...)
 }
 
 // Close stops the server without draining and waits until it has ended.
@@ -134,7 +148,7 @@
 	if _, err := body.ReadFrom(request.Body); err != nil {
 		return
 	}
-	if !r.enqueue() {
+	if !r.enqueue(a.ID) {
 		a.Refuse(w)
 		return
 	}
@@ -163,11 +177,10 @@
 
 // enqueue counts a request as received and, if the queue has room, as queued. It
 // reports whether the request was queued.
-func (r *Replica) enqueue() bool {
+func (r *Replica) enqueue(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals++
-	r.lastArrival = time.Now()
+	r.received = append(r.received, Arrival{id, time.Now()})
 	if r.queued >= maxQueued {
 		return false
 	}
