control: a VM that has not read the list of VMs is not ready

Cause: the list of VMs was tried again after up to 10 s, routes and replicas after one, and a VM without the list divided its shares by one.

Evidence: the VMs logged routes and replicas within a second of the store's return and the shares of five VMs only seconds later.

Why this works: no share is computed from a number that was not read, and the list is read within a second of the store's return.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -167,6 +167,9 @@
 	// joined is true once a peer has acknowledged a probe.
 	joined   bool
 	platform PlatformState
+	// vmsListed is true once the platform's list of VMs was received. Before, this VM does
+	// not know with how many others it shares the limits of the upstreams.
+	vmsListed bool
 	// viewStale is true if the state has changed since the last Publish.
 	viewStale bool
 	// ranks caches this VM's rendezvous rank for each replica of each service in
@@ -370,6 +373,7 @@
 		}
 	}
 	c.roster.SetListed(listed)
+	c.vmsListed = true
 	if c.config.Peerless {
 		c.roster.Replace(now, productMembers(vms))
 	}
--- a/core/control/discovery_test.go
+++ b/core/control/discovery_test.go
@@ -40,7 +40,9 @@
 	return v
 }
 
-func TestReadyOnceRoutesAndReplicasAreKnown(t *testing.T) {
+// TestReadyOnceRoutesReplicasAndVMsAreKnown also guards against VMs that start while the
+// store is down, have not read the list of VMs yet, and each take the limits for themselves.
+func TestReadyOnceRoutesReplicasAndVMsAreKnown(t *testing.T) {
 	core, _ := newDiscoveringCore(t)
 	if v := latestView(core); v == nil || v.Ready {
 		t.Fatal("ready without routes")
@@ -50,6 +52,10 @@
 		t.Fatal("ready without replicas")
 	}
 	core.ReplicasListed(start, nil)
+	if latestView(core).Ready {
+		t.Fatal("ready without the list of VMs")
+	}
+	core.VMsListed(start, []control.ListedVM{{Name: "entry-0", Zone: "baden"}})
 	v := latestView(core)
 	if !v.Ready || v.RoutesVersion != 3 {
 		t.Fatalf("ready: %v, version %d", v.Ready, v.RoutesVersion)
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -28,7 +28,7 @@
 		Version: c.configuration.Version,
 	}
 	if p := c.configuration.Current(); p != nil {
-		v.Ready, v.Preset = now >= c.readyAt && (!c.config.Discovers || c.catalogue.Ready()), *p
+		v.Ready, v.Preset = now >= c.readyAt && (!c.config.Discovers || (c.catalogue.Ready() && c.vmsListed)), *p
 	}
 	v.Out = c.configuration.ZoneIsOut(self.Zone) || c.configuration.VMIsOut(string(self.VM))
 	v.VMs = len(c.updateRanks())
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -80,9 +80,9 @@
 	// Version is the version of the configuration in force. It never decreases
 	// from one View to the next.
 	Version ident.Version
-	// Ready is true once this VM may serve: a configuration is in force, routes
-	// and replicas are available if they come from discovery, and the wait for
-	// peers has ended.
+	// Ready is true once this VM may serve: a configuration is in force, routes,
+	// replicas and the list of VMs are available if they come from discovery, and the
+	// wait for peers has ended.
 	Ready bool
 	// Out is true while operators keep this VM or its zone out of service.
 	Out    bool
--- a/serve/watch/watch.go
+++ b/serve/watch/watch.go
@@ -138,7 +138,7 @@
 
 // PollVMs reads the list of VMs periodically until the context is done.
 func (w *Watcher) PollVMs(ctx context.Context) {
-	var backoff platform.Backoff
+	backoff := platform.Backoff{MaxDelay: maxRetryDelay}
 	interval := minListInterval
 	for ctx.Err() == nil {
 		vms, err := w.Store.VMs(ctx)
