replica: readmit ejected replicas when no other is usable

Cause: an ejection held for its interval even when the other replicas left, were lost, out or held meanwhile.

Why this works: Shard.Usable readmits the ejected ones when there is no other, and the queue of a shard asks it too. TestEjectedReplicasServeWhenNoOtherCan fails without the change. TestLastUsableReplicaIsNeverEjected counts usable replicas itself now, since Usable would readmit them; it is as strict as before.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -331,6 +331,15 @@
 	}
 }
 
+// readmit ends an ejection before its time. The replica gets its share at once, since it
+// neither restarted nor was lost.
+func (s *State) readmit(now ident.Instant) {
+	if s.Condition(now) == Ejected {
+		s.enter(Warm, now)
+		s.limit = s.fairShare()
+	}
+}
+
 func (m *Sample) slow() bool { return m.SlowThreshold > 0 && m.Took > m.SlowThreshold }
 
 // enterWithBackoff enters c, Ejected or Lost, for an interval. The interval is
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -62,13 +62,13 @@
 		now := ident.Instant(time.Hour)
 		for range rapid.IntRange(1, 200).Draw(t, "samples") {
 			r := shard.Replicas[rapid.IntRange(0, n-1).Draw(t, "replica")]
-			usable := shard.Usable(now)
+			usable := countUsable(shard, now)
 			may := shard.MayEject(now, r)
 			r.Observe(now, replica.Sample{
 				Outcome: replica.OK, Took: time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond,
 				SlowThreshold: 40 * time.Millisecond, Base: 20 * time.Millisecond, MayEject: may,
 			})
-			if usable > 0 && shard.Usable(now) == 0 {
+			if usable > 0 && countUsable(shard, now) == 0 {
 				t.Fatal("the last usable replica was ejected")
 			}
 			ejected := 0
@@ -85,6 +85,54 @@
 	})
 }
 
+// countUsable counts the usable replicas without readmitting ejected ones.
+func countUsable(s *replica.Shard, now ident.Instant) int {
+	n := 0
+	for _, r := range s.Replicas {
+		if r.Usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestEjectedReplicasServeWhenNoOtherCan guards against searches without a part because two
+// replicas of a shard were ejected for slow replies when the third one began to leave.
+func TestEjectedReplicasServeWhenNoOtherCan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "replicas")
+		shard := newShard(n)
+		now := ident.Instant(time.Hour)
+		ejected := 0
+		for _, r := range shard.Replicas {
+			switch rapid.IntRange(0, 4).Draw(t, "state") {
+			case 0:
+				r.Observe(now, replica.Sample{
+					Outcome: replica.OK, Took: time.Second, SlowThreshold: 40 * time.Millisecond, Base: 20 * time.Millisecond, MayEject: true,
+				})
+				ejected++
+			case 1:
+				r.MarkLeaving(now)
+			case 2:
+				r.Observe(now, replica.Sample{Outcome: replica.Unsent})
+			case 3:
+				r.Out = true
+			case 4:
+				r.Hold(now, time.Minute, 0)
+			}
+		}
+		usable := shard.Usable(now)
+		if usable != ejected {
+			t.Fatalf("%d usable replicas, expected the %d ejected ones", usable, ejected)
+		}
+		for _, r := range shard.Replicas {
+			if r.Usable(now) && !r.CanSend(now) {
+				t.Fatalf("a readmitted replica that is %s has no free slot", r.Condition(now))
+			}
+		}
+	})
+}
+
 // TestLimitDropsWithinAFewRequests checks that one RefusedCold, or at most six slow
 // replies in a row, end the full load on a replica.
 func TestLimitDropsWithinAFewRequests(t *testing.T) {
--- a/core/replica/shard.go
+++ b/core/replica/shard.go
@@ -40,8 +40,19 @@
 	return others > 0 && 2*ejected <= len(s.Replicas)+1
 }
 
-// Usable returns the number of usable replicas.
+// Usable returns the number of usable replicas. If there is none, it first readmits the
+// ejected ones: a slow reply is better than none.
 func (s *Shard) Usable(now ident.Instant) int {
+	if n := s.countUsable(now); n > 0 {
+		return n
+	}
+	for _, r := range s.Replicas {
+		r.readmit(now)
+	}
+	return s.countUsable(now)
+}
+
+func (s *Shard) countUsable(now ident.Instant) int {
 	n := 0
 	for _, r := range s.Replicas {
 		if r.Usable(now) {
