admission: let the class share bound the wait only

What callers saw: with idle replicas, requests whose work takes over two fifths of their deadline were refused thousands of times a second, with a Retry-After of 1 ms.

Cause: the share of the time left that a class may use counted the work itself, and the median latency is 0 while there are few samples.

Evidence: "0 in flight, a wait of 0s, then 2.8s; 4s left" in the refusals.

Why this works: higher classes can only delay what waits, so the share bounds the wait; a request that fits at a free slot is admitted.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -63,15 +63,16 @@
 	if r.QueueFull {
 		return TooMany
 	}
-	if float64(r.Wait+r.AttemptLatency) > usableShare(r)*float64(r.Left) {
+	spare := r.Left - r.AttemptLatency
+	if spare < 0 || float64(r.Wait) > usableShare(r)*float64(spare) {
 		return CannotMeetDeadline
 	}
 	return Admitted
 }
 
-// usableShare returns the share of the time left that the estimated wait and
-// latency may take. It is smaller for lower classes, because queries of higher
-// classes that arrive later are served before them.
+// usableShare returns the share that the estimated wait may take of the time left beside
+// the attempt. It is smaller for lower classes, because queries of higher classes that
+// arrive later are served before them. A request that needs no wait owes them nothing.
 func usableShare(r Request) float64 {
 	if r.Ranks <= 1 {
 		return maxUsableShare
--- a/core/node/passing.go
+++ b/core/node/passing.go
@@ -33,6 +33,9 @@
 	// refusals but those for load. It is the first interval after which a lost replica is
 	// tried again.
 	noReplicaRetryAfter = 300 * time.Millisecond
+	// minLoadRetryAfter is the least base of the Retry-After of a refusal for load, so that
+	// callers who obey it do not return thousands of times a second.
+	minLoadRetryAfter = 20 * time.Millisecond
 	// At least minQuotaReserve of a quota is reserved for required parts. Of n parts, the
 	// optional ones may use at most the share optionalParts/n of the quota.
 	minQuotaReserve = 0.25
@@ -98,7 +101,7 @@
 // admitRouted applies the admission policy to a routed request. It also refuses a request
 // for which too few parts have a usable replica.
 func (c *Core) admitRouted(now ident.Instant, q *query) (admission.Reason, string) {
-	median := q.profile.latency.Median(now)
+	expected := q.profile.expectedLatency(now)
 	waits := make([]time.Duration, 0, len(q.parts))
 	queuesWithRoom := 0
 	for i := range q.parts {
@@ -106,7 +109,7 @@
 		if sh == nil || sh.Usable(now) == 0 {
 			continue
 		}
-		waits = append(waits, sh.EstimateWait(now, sh.queue.Ahead(q.rank), median))
+		waits = append(waits, sh.EstimateWait(now, sh.queue.Ahead(q.rank), expected))
 		if sh.queue.CanPush(q.rank) {
 			queuesWithRoom++
 		}
@@ -370,7 +373,7 @@
 	}
 	wait := noReplicaRetryAfter
 	if r == admission.TooMany || r == admission.CannotMeetDeadline {
-		wait = max(2*q.profile.latency.Median(now), q.longestWait(now), time.Millisecond)
+		wait = max(2*q.profile.expectedLatency(now), q.longestWait(now), minLoadRetryAfter)
 	}
 	return max(q.holdLeft(now), wait/2) + time.Duration(jitter*float64(wait))
 }
@@ -401,7 +404,7 @@
 	var longest time.Duration
 	for i := range q.parts {
 		if sh := q.parts[i].shard; sh != nil {
-			longest = max(longest, sh.EstimateWait(now, sh.queue.Ahead(q.rank), q.profile.latency.Median(now)))
+			longest = max(longest, sh.EstimateWait(now, sh.queue.Ahead(q.rank), q.profile.expectedLatency(now)))
 		}
 	}
 	return longest
--- a/core/node/passing_test.go
+++ b/core/node/passing_test.go
@@ -399,3 +399,23 @@
 	sim.stallEnd = sim.stallStart.Add(3 * time.Second)
 	sim.checkRecovery(t, sim.stallEnd.Add(200*time.Millisecond))
 }
+
+// TestSlowWorkIsNotRefusedAtIdleReplicas guards against refusals while slots are free: twelve
+// replicas with three slots each serve requests that take up to three of four seconds.
+func TestSlowWorkIsNotRefusedAtIdleReplicas(t *testing.T) {
+	for _, work := range []time.Duration{160 * time.Millisecond, 1200 * time.Millisecond, 1700 * time.Millisecond, 2400 * time.Millisecond} {
+		sim := newRoutedSimulation(1, node.Routed(), 1, 12, 3)
+		sim.shareLimits(5, 52)
+		load := &workload{
+			route: &route.Route{
+				Name: "order", Goal: 600 * time.Millisecond, Timeout: 4 * time.Second, Rank: 2, Attempts: 1, Targets: []route.Target{sim.allServices()},
+			},
+			ratePerSecond: 2, serviceTime: work, deadline: 4 * time.Second,
+		}
+		sim.runLoads(load)
+		sim.reportFailures(t)
+		if o := sim.outcomes["order"]; o.refused > 0 {
+			t.Errorf("work of %v: %d of %d requests were refused", work, o.refused, o.arrived)
+		}
+	}
+}
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"carawaycross.example/carawaycross/core/container"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/replica"
@@ -50,6 +52,15 @@
 	latency retry.Latency
 }
 
+// expectedLatency returns the median latency or, while there are too few samples, the
+// fastest one; 0 without any.
+func (p *profile) expectedLatency(now ident.Instant) time.Duration {
+	if median := p.latency.Median(now); median > 0 {
+		return median
+	}
+	return p.latency.Fastest(now)
+}
+
 func newService(id ident.ServiceID) *service {
 	return &service{id: id, shards: map[ident.ShardID]*shard{}, choiceStale: true}
 }
