node: an answer 421 is no reply of the replica that crashed

The replica that took over the address of a crashed one answers 421 to attempts addressed to the earlier one. That counted as its reply and cleared the losses, so the crash was never confirmed and the request kept its retries.

TestSuccessorOfACrashedReplicaIsNoReply fails without the change (0 crashes of 2).

--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -231,7 +231,7 @@
 func (c *Core) recordOutcome(now ident.Instant, a *attempt, reply *Reply) {
 	r := a.replica
 	r.Ended(a.sent)
-	if reply.Outcome != replica.Broken && reply.Outcome != replica.Unsent && c.losses.Len() > 0 {
+	if c.losses.Len() > 0 && reply.Outcome.Replied() {
 		c.losses.Clear(processOf(a))
 	}
 	defer c.applyRequests(now, a, reply)
--- a/core/node/crash_test.go
+++ b/core/node/crash_test.go
@@ -142,6 +142,24 @@
 	}
 }
 
+// TestSuccessorOfACrashedReplicaIsNoReply checks that an answer 421 from the replica that
+// took over the address of a crashed one does not hide the crash.
+func TestSuccessorOfACrashedReplicaIsNoReply(t *testing.T) {
+	w := newCrashWorld("desk")
+	reached := w.run(deskRoute(), "/crasher", replica.Broken)
+	for range 20 {
+		w.run(deskRoute(), "/other", replica.Misdirected)
+		w.now = w.now.Add(300 * time.Millisecond)
+	}
+	for _, id := range reached {
+		w.gone[id] = true
+	}
+	w.install()
+	if len(w.crashes) != 2 {
+		t.Fatalf("%d crashes were reported, expected 2", len(w.crashes))
+	}
+}
+
 // TestCrashingSearchIsNotRetried is TestCrashingRequestIsNotRetried for a request to many
 // shards, which crashes replicas of each.
 func TestCrashingSearchIsNotRetried(t *testing.T) {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -71,6 +71,16 @@
 // NotRun reports whether it is certain that the replica did not run the attempt.
 func (o Outcome) NotRun() bool { return o >= Shed && o <= Unsent }
 
+// Replied reports whether the replica that the attempt was addressed to replied to it.
+func (o Outcome) Replied() bool {
+	switch o {
+	case OK, Shed, RefusedCold, Draining, SnapshotGone, Failed:
+		return true
+	case Misdirected, Unsent, Broken, Aborted:
+	}
+	return false
+}
+
 // String returns the name of the outcome in kebab case.
 func (o Outcome) String() string {
 	return [...]string{
--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -36,8 +36,8 @@
 
 // A Budget bounds the bytes that a process holds in bodies, and keeps room for new ones: a
 // body beside others may grow to maxShareOfRest times the bytes that are left. However many
-// bodies have no end, a small one finds room. The zero value has no bound. Its methods may be called from
-// several goroutines.
+// bodies have no end, a small one finds room. The zero value has no bound. Its methods may
+// be called from several goroutines.
 type Budget struct {
 	// limit is the bound; 0 means none.
 	limit atomic.Int64
