Tenants, keys, rollouts and bounds: schema, core types, and keys from the store to a replica

Cause: configurations with tenants were served to anyone, and nothing in the schema could say which software a replica runs or which bounds hold for rollouts and usage caps.

Change: messages and settings for tenants, rollouts, usage and load; named types for key digests, software versions and tokens; core/tenant. A tenant's rank replaces the route's.

Result: builds; tests of platform, core/catalogue, core/tenant, serve/codec and serve/settings passed.

--- a/core/catalogue/catalogue.go
+++ b/core/catalogue/catalogue.go
@@ -12,6 +12,7 @@
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/retry"
 	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/tenant"
 	"carawaycross.example/carawaycross/core/view"
 )
 
@@ -24,6 +25,8 @@
 	// Incarnation distinguishes successive processes with the same ID; 0 if not
 	// reported.
 	Incarnation ident.Incarnation
+	// Software is the version of the software that the replica runs.
+	Software ident.Software
 	// Slots is the number of requests that the replica processes concurrently.
 	Slots int
 	// Leaving is true once the replica accepts no new requests.
@@ -56,6 +59,8 @@
 	Routes   []route.Route
 	Services []Service
 	Limits   route.Limits
+	// Tenants is empty if requests need no key.
+	Tenants []tenant.Tenant
 }
 
 // absenceGracePeriod is how long an entry that expired during an outage of the
@@ -69,6 +74,7 @@
 	// configuration.Version never decreases.
 	configuration Configuration
 	table         *route.Table
+	tenants       *tenant.Table
 	replicas      map[ident.ReplicaID]Replica
 	// absentUntil maps each entry that was missing when the store became available
 	// again to the time at which it is removed.
@@ -92,6 +98,7 @@
 		return false
 	}
 	c.configuration, c.table = configuration, route.NewTable(configuration.Routes)
+	c.tenants = tenant.NewTable(configuration.Tenants)
 	return true
 }
 
@@ -228,6 +235,7 @@
 // this VM in the order of VMs for a replica.
 func (c *Catalogue) AddTo(v *view.View, limits retry.QuotaLimits, rank func(ident.ReplicaID) int) {
 	v.Routes, v.RoutesVersion, v.Limits = c.table, c.configuration.Version, c.configuration.Limits
+	v.Tenants = c.tenants
 	serviceIndex := make(map[ident.ServiceID]int, len(c.configuration.Services))
 	for _, s := range c.configuration.Services {
 		serviceIndex[s.ID] = len(v.Services)
@@ -251,7 +259,7 @@
 		s.Slots = max(s.Slots, r.Slots)
 		s.Replicas = append(s.Replicas, view.Replica{
 			ID: r.ID, Zone: r.Zone, Address: r.Address, Incarnation: r.Incarnation, Slots: r.Slots, Leaving: r.Leaving,
-			ColdUntil: r.ColdUntil, Out: c.zonesOut[r.Zone], Rank: rank(r.ID),
+			Software: r.Software, ColdUntil: r.ColdUntil, Out: c.zonesOut[r.Zone], Rank: rank(r.ID),
 		})
 	}
 }
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -16,12 +16,17 @@
 	ShardID uint32
 	// A ReplicaID names one upstream process that serves one shard.
 	ReplicaID string
+	// A Software names a version of the software that a replica runs.
+	Software string
 	// A VMID names an entry VM.
 	VMID string
 	// A ZoneID names an availability zone.
 	ZoneID string
 	// A TenantID names a caller organisation or application.
 	TenantID string
+	// A KeyDigest is the SHA-256 digest of a caller's key. Keys themselves are not
+	// kept.
+	KeyDigest [32]byte
 	// A ClassID names a priority class of requests.
 	ClassID string
 	// A PresetName names a preset.
@@ -52,6 +57,10 @@
 // A Rate is a number of events per second.
 type Rate float64
 
+// Tokens is a number of requests that a usage cap still allows, in whole requests and
+// fractions of one.
+type Tokens float64
+
 // An Instant is a point in time, in nanoseconds since the Unix epoch or since the
 // start of virtual time. Decision code receives it as a parameter and never reads a
 // clock.
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -8,12 +8,17 @@
 	"carawaycross.example/carawaycross/core/replica"
 	"carawaycross.example/carawaycross/core/route"
 	"carawaycross.example/carawaycross/core/snapshot"
+	"carawaycross.example/carawaycross/core/tenant"
 )
 
 // An Arrival is a request from a caller.
 type Arrival struct {
 	Service ident.ServiceID
 	Tenant  ident.TenantID
+	// Account is the entry of Tenant in the configuration; nil on public routes and where
+	// requests need no key. It stays that of the request although the configuration may
+	// change.
+	Account *tenant.Tenant
 	Class   ident.ClassID
 	// Body is sent to upstreams unchanged.
 	Body []byte
--- a/core/node/passing.go
+++ b/core/node/passing.go
@@ -73,7 +73,11 @@
 	if r.Gather {
 		q.leastCoverage = r.LeastCoverage
 	}
-	q.rank = min(max(r.Rank, 0), max(len(p.Classes)-1, 0))
+	rank := r.Rank
+	if t := q.arrival.Account; t != nil && t.Ranked {
+		rank = t.Rank
+	}
+	q.rank = min(max(rank, 0), max(len(p.Classes)-1, 0))
 	q.allowedAttempts = min(max(r.Attempts, 1), preset.MaxAttempts)
 	if !q.repeatable() {
 		q.allowedAttempts = 1
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -32,6 +32,8 @@
 	Goal time.Duration
 	// Rank is the priority, 0 the highest.
 	Rank int
+	// Public is true if requests need no key although the configuration has tenants.
+	Public bool
 	// Attempts limits the number of replicas per shard that one request may run
 	// on.
 	Attempts int
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -13,6 +13,7 @@
 	"carawaycross.example/carawaycross/core/retry"
 	"carawaycross.example/carawaycross/core/route"
 	"carawaycross.example/carawaycross/core/snapshot"
+	"carawaycross.example/carawaycross/core/tenant"
 )
 
 // A Replica is the control state of one upstream replica.
@@ -30,6 +31,9 @@
 	ColdMark uint64
 	// Rank is this VM's position in the replica's rendezvous order, from 0.
 	Rank int
+	// Software is the version of the software that the replica runs; empty if not
+	// reported.
+	Software ident.Software
 	// Slots overrides Service.Slots for this replica unless 0.
 	Slots int
 	// Incarnation distinguishes successive processes of the replica under one ID; 0
@@ -96,7 +100,9 @@
 	// RoutesVersion is the version of Routes. It never decreases.
 	RoutesVersion ident.RoutesVersion
 	// Limits restrict the requests that callers may send.
-	Limits  route.Limits
+	Limits route.Limits
+	// Tenants holds the keys that requests need; nil if they need none.
+	Tenants *tenant.Table
 	Members container.COW[ident.VMID, Member]
 	// Poisoned maps each request that crashes upstreams to the end of its refusal.
 	Poisoned container.COW[poison.Fingerprint, ident.Instant]
--- a/serve/codec/catalogue.go
+++ b/serve/codec/catalogue.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -8,6 +9,7 @@
 	"carawaycross.example/carawaycross/core/catalogue"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/tenant"
 	"carawaycross.example/carawaycross/schema"
 )
 
@@ -17,6 +19,7 @@
 	m := &schema.CatalogueReplica{
 		Id: string(r.ID), Service: string(r.Service), Zone: string(r.Zone), Address: r.Address,
 		Born: uint64(r.Incarnation), Slots: uint32(r.Slots), Leaving: r.Leaving,
+		Software: string(r.Software),
 	}
 	if left := r.ColdUntil.Sub(now); r.ColdUntil != 0 && left > 0 {
 		m.ColdMs = uint32(left / time.Millisecond)
@@ -33,6 +36,7 @@
 	r := catalogue.Replica{
 		ID: ident.ReplicaID(m.Id), Service: ident.ServiceID(m.Service), Zone: ident.ZoneID(m.Zone), Address: m.Address,
 		Incarnation: ident.Incarnation(m.Born), Slots: int(m.Slots), Leaving: m.Leaving,
+		Software: ident.Software(m.Software),
 	}
 	if m.ColdMs > 0 {
 		r.ColdUntil = now.Add(time.Duration(m.ColdMs) * time.Millisecond)
@@ -57,12 +61,16 @@
 			Name: string(r.Name), Host: r.Host, Prefix: r.Prefix, Repeatable: r.Repeatable, Gather: r.Gather,
 			Top: int32(r.Top), LeastCoverage: float64(r.LeastCoverage), TimeoutMs: toMilliseconds(r.Timeout),
 			GoalMs: toMilliseconds(r.Goal), Rank: int32(r.Rank), Attempts: int32(r.Attempts),
+			Public: r.Public,
 		}
 		for _, t := range r.Targets {
 			routeMessage.Targets = append(routeMessage.Targets, &schema.CatalogueTarget{Services: convertAll[string](t.Services), Weight: t.Weight})
 		}
 		m.Routes = append(m.Routes, routeMessage)
 	}
+	for i := range c.Tenants {
+		m.Tenants = append(m.Tenants, tenantMessage(&c.Tenants[i]))
+	}
 	return proto.Marshal(m)
 }
 
@@ -86,15 +94,46 @@
 			Name: ident.RouteID(r.Name), Host: r.Host, Prefix: r.Prefix, Repeatable: r.Repeatable, Gather: r.Gather,
 			Top: int(r.Top), LeastCoverage: ident.Share(r.LeastCoverage), Timeout: fromMilliseconds(r.TimeoutMs),
 			Goal: fromMilliseconds(r.GoalMs), Rank: int(r.Rank), Attempts: int(r.Attempts),
+			Public: r.Public,
 		}
 		for _, t := range r.Targets {
 			decoded.Targets = append(decoded.Targets, route.Target{Services: convertAll[ident.ServiceID](t.Services), Weight: t.Weight})
 		}
 		c.Routes = append(c.Routes, decoded)
 	}
+	for _, t := range m.Tenants {
+		decoded, err := decodeTenant(t)
+		if err != nil {
+			return catalogue.Configuration{}, err
+		}
+		c.Tenants = append(c.Tenants, decoded)
+	}
 	return c, nil
 }
 
+func tenantMessage(t *tenant.Tenant) *schema.CatalogueTenant {
+	m := &schema.CatalogueTenant{
+		Name: string(t.ID), Rank: int32(t.Rank), Ranked: t.Ranked, Rate: float64(t.Rate), Burst: float64(t.Burst),
+	}
+	for i := range t.Keys {
+		m.KeyDigests = append(m.KeyDigests, t.Keys[i][:])
+	}
+	return m
+}
+
+func decodeTenant(m *schema.CatalogueTenant) (tenant.Tenant, error) {
+	t := tenant.Tenant{
+		ID: ident.TenantID(m.Name), Rank: int(m.Rank), Ranked: m.Ranked, Rate: ident.Rate(m.Rate), Burst: ident.Tokens(m.Burst),
+	}
+	for _, digest := range m.KeyDigests {
+		if len(digest) != len(ident.KeyDigest{}) {
+			return tenant.Tenant{}, fmt.Errorf("tenant %q: found a key digest of %d bytes, allowed: %d", m.Name, len(digest), len(ident.KeyDigest{}))
+		}
+		t.Keys = append(t.Keys, ident.KeyDigest(digest))
+	}
+	return t, nil
+}
+
 func toMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func fromMilliseconds(ms float64) time.Duration { return ident.Span(ms, time.Millisecond) }
--- a/serve/settings/typed.go
+++ b/serve/settings/typed.go
@@ -91,6 +91,11 @@
 	return ident.Bytes(s.Message.GetDiscovery().GetReplyMemoryBytes())
 }
 
+// RequestMemory returns the most bytes that callers' requests may take.
+func (s *Settings) RequestMemory() ident.Bytes {
+	return ident.Bytes(s.Message.GetDiscovery().GetRequestMemoryBytes())
+}
+
 // QuotaLimits returns the limits of the extra attempts to discovered services.
 func (s *Settings) QuotaLimits() retry.QuotaLimits {
 	d := s.Message.Discovery
