gate, intake: bounds on what callers take before and while they are served

Cause: the front read each body whole, with no bound over all of them; net/http read a megabyte of each head, and nothing bounded the connections of a listener. The same held for the operators' door and the readiness check.

core/intake decides who is turned away: for memory the arriving request that is slow, else the one with the largest memory times age; for a connection the slow one, then one that has asked nothing, then the newest idle one. serve/gate wraps each listener: it counts heads and bodies as they arrive, bounds the connections, the time for a head, a body and an answer that is not read, and takes the configuration's limits as they change. Refusals: 431 and 408 of a head, 503 with Retry-After or 408 of a body, all before a request is passed on. Readiness check and operators have limits of their own.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -39,6 +39,8 @@
 	UnknownService     Reason = "unknown-service"
 	BadDeadline        Reason = "bad-deadline"
 	VMOut              Reason = "vm-out"
+	// NoMemory means that the requests that are arriving take all memory for them.
+	NoMemory Reason = "no-memory"
 )
 
 // A Policy decides whether a request is admitted.
--- /dev/null
+++ b/core/intake/intake_test.go
@@ -0,0 +1,184 @@
+package intake_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/intake"
+	"carawaycross.example/carawaycross/internal/proptest"
+)
+
+func TestMain(m *testing.M) { os.Exit(proptest.Main(m)) }
+
+const (
+	connections = 40
+	memory      = ident.Bytes(1 << 20)
+	largeBody   = ident.Bytes(256 << 10)
+	smallBody   = ident.Bytes(8 << 10)
+	start       = ident.Instant(time.Hour)
+)
+
+func newLedger() *intake.Ledger[int] {
+	return intake.New[int](intake.Limits{Connections: connections, Memory: memory})
+}
+
+// arrive opens a connection and lets a part of a body arrive. It returns whether the
+// connection was opened and the part was held.
+func arrive(l *intake.Ledger[int], now ident.Instant, k int, size ident.Bytes) bool {
+	if _, _, ok := l.Open(now, k); !ok {
+		return false
+	}
+	l.Enter(now, k, intake.Head)
+	l.Enter(now, k, intake.Body)
+	l.Receive(now, k, size)
+	_, ok := l.Hold(now, k, size)
+	return ok
+}
+
+// TestLargeBodiesThatStopShort has a crowd of large bodies, opened faster than any is
+// given up, that stop just short of their end. A small body arrives beside them at any
+// time, and a large one as soon as they stand still.
+func TestLargeBodiesThatStopShort(t *testing.T) {
+	l, now := newLedger(), start
+	for k := range 3 * connections {
+		now = now.Add(10 * time.Millisecond)
+		arrive(l, now, k, largeBody)
+		if now = now.Add(time.Millisecond); !arrive(l, now, -1, smallBody) || !l.Enter(now, -1, intake.Running) {
+			t.Fatalf("a small body was refused beside %d large ones", k)
+		}
+		l.Close(-1)
+	}
+	now = now.Add(2 * time.Second)
+	if !arrive(l, now, -2, largeBody) {
+		t.Error("a large body was refused beside others that stand still")
+	}
+}
+
+// TestBodiesThatTrickle has a crowd that keeps sending its bodies, a byte at a time. One
+// that moves at an ordinary rate is held, although it is larger.
+func TestBodiesThatTrickle(t *testing.T) {
+	l, now := newLedger(), start
+	for k := range 16 {
+		arrive(l, now, k, memory/16)
+	}
+	for range 60 {
+		now = now.Add(100 * time.Millisecond)
+		for k := range 16 {
+			l.Receive(now, k, 1)
+		}
+	}
+	if !arrive(l, now, -1, largeBody) || l.Used() > memory {
+		t.Errorf("a body was refused beside others that trickle; %d bytes in use", l.Used())
+	}
+}
+
+// TestConnectionsThatAskNothing has a flood of connections that ask nothing, or a part of
+// a head. Those that were idle before are kept, and a new caller is heard.
+func TestConnectionsThatAskNothing(t *testing.T) {
+	l, now := newLedger(), start
+	const kept = connections / 4
+	for k := range kept {
+		l.Open(now, k)
+		l.Enter(now, k, intake.Running)
+		l.Enter(now, k, intake.Idle)
+	}
+	for k := kept; k < 20*connections; k++ {
+		now = now.Add(time.Millisecond)
+		victim, turnedAway, ok := l.Open(now, k)
+		if !ok || (turnedAway && victim < kept) {
+			t.Fatalf("connection %d: opened %v, in place of %d", k, ok, victim)
+		}
+		if k%2 == 0 {
+			l.Enter(now, k, intake.Head)
+		}
+	}
+	if !arrive(l, now, -1, smallBody) || l.Len() > connections {
+		t.Errorf("a caller was not heard; %d connections", l.Len())
+	}
+}
+
+// TestAnswersThatAreNotRead has callers that read nothing of their answers. They make
+// room once they have stood still, also where every connection is taken.
+func TestAnswersThatAreNotRead(t *testing.T) {
+	l, now := newLedger(), start
+	for k := range connections {
+		l.Open(now, k)
+		l.Enter(now, k, intake.Running)
+		l.Write(now, k, true)
+	}
+	if _, _, ok := l.Open(now, -1); ok {
+		t.Error("a request that runs was cut off")
+	}
+	now = now.Add(2 * time.Second)
+	l.Write(now, 0, true)
+	if victim, _, ok := l.Open(now, -1); !ok || victim == 0 {
+		t.Errorf("opened %v in place of %d, which reads its answer", ok, victim)
+	}
+}
+
+// TestLedgerKeepsItsLimits checks with random events that the limits hold, that only
+// requests that are still arriving are refused, and that all memory is returned.
+func TestLedgerKeepsItsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now := newLedger(), start
+		phases, detached := map[int]intake.Phase{}, ident.Bytes(0)
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			k := rapid.IntRange(0, 2*connections).Draw(t, "connection")
+			phase, open := phases[k]
+			switch event := rapid.IntRange(0, 6).Draw(t, "event"); {
+			case !open:
+				victim, turnedAway, ok := l.Open(now, k)
+				if turnedAway && phases[victim] == intake.Running {
+					t.Fatalf("connection %d was closed while its request ran", victim)
+				}
+				if turnedAway {
+					delete(phases, victim)
+				}
+				if ok {
+					phases[k] = intake.Waiting
+				}
+			case event == 0:
+				l.Close(k)
+				delete(phases, k)
+			case event <= 3 && (phase == intake.Head || phase == intake.Body):
+				refused, ok := l.Hold(now, k, ident.Bytes(rapid.IntRange(1, int(memory)).Draw(t, "bytes")))
+				for _, victim := range refused {
+					if p := phases[victim]; p != intake.Head && p != intake.Body {
+						t.Fatalf("connection %d was refused in phase %d", victim, p)
+					}
+					phases[victim] = intake.Refused
+				}
+				if !ok {
+					phases[k] = intake.Refused
+				}
+			case phase == intake.Running && event <= 4:
+				detached += l.Detach(k)
+				l.Enter(now, k, intake.Idle)
+				phases[k] = intake.Idle
+			case phase != intake.Refused:
+				next := map[intake.Phase]intake.Phase{
+					intake.Waiting: intake.Head, intake.Idle: intake.Head, intake.Head: intake.Body,
+					intake.Body: intake.Running, intake.Running: intake.Running,
+				}[phase]
+				if !l.Enter(now, k, next) {
+					t.Fatalf("connection %d cannot enter phase %d", k, next)
+				}
+				phases[k] = next
+			}
+			if l.Len() > connections || l.Len() != len(phases) || l.Used() > memory {
+				t.Fatalf("%d connections of %d, %d bytes", l.Len(), len(phases), l.Used())
+			}
+		}
+		for k := range phases {
+			l.Close(k)
+		}
+		if l.Return(detached); l.Used() != 0 {
+			t.Fatalf("%d bytes are left", l.Used())
+		}
+	})
+}
--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -57,22 +57,31 @@
 // Used returns the number of reserved bytes.
 func (b *Budget) Used() ident.Bytes { return ident.Bytes(b.used.Load()) }
 
+// A Reserver reserves memory for a body.
+type Reserver interface {
+	// Reserve reserves n bytes for a body that then takes size bytes, or returns an error
+	// and reserves none.
+	Reserve(n, size ident.Bytes) error
+	// Release returns n reserved bytes.
+	Release(n ident.Bytes)
+}
+
 // maxShareOfRest bounds a body as a multiple of the bytes that are left beside it. n bodies
 // without end then leave 1/(n*maxShareOfRest+1) of the budget.
 const maxShareOfRest = 2
 
-// grow reserves n bytes for a body that then takes size bytes, or none and returns false if
-// there is no room.
-func (b *Budget) grow(n, size ident.Bytes) bool {
+// Reserve reserves n bytes for a body that then takes size bytes, or none if there is no
+// room.
+func (b *Budget) Reserve(n, size ident.Bytes) error {
 	for {
 		limit, before := b.limit.Load(), b.used.Load()
 		used := before + int64(n)
 		alone := used == int64(size) && used <= limit
 		if limit > 0 && !alone && int64(size) > maxShareOfRest*(limit-used) {
-			return false
+			return &Error{"read", OverBudget, ident.Bytes(limit)}
 		}
 		if b.used.CompareAndSwap(before, used) {
-			return true
+			return nil
 		}
 	}
 }
@@ -92,7 +101,7 @@
 // ReadWithin reads a body of at most limit bytes to its end. It returns the number of
 // bytes that it reserved in the budget, for a later Release. After an error none are
 // reserved. Memory is reserved as bytes arrive, not as the sender announces them.
-func ReadWithin(r io.Reader, limit ident.Bytes, budget *Budget) (text []byte, reserved ident.Bytes, err error) {
+func ReadWithin[R Reserver](r io.Reader, limit ident.Bytes, budget R) (text []byte, reserved ident.Bytes, err error) {
 	defer func() {
 		if err != nil {
 			budget.Release(reserved)
@@ -106,8 +115,8 @@
 			if ident.Bytes(len(text)) > limit {
 				return text, reserved, &Error{"read", TooLong, limit}
 			}
-			if !budget.grow(size-reserved, size) {
-				return text, reserved, &Error{"read", OverBudget, ident.Bytes(budget.limit.Load())}
+			if err := budget.Reserve(size-reserved, size); err != nil {
+				return text, reserved, err
 			}
 			reserved = size
 			text = append(make([]byte, 0, size), text...)
--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -1,10 +1,12 @@
 package crowd_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -131,6 +133,43 @@
 	}
 }
 
+// TestSingleRequestsInsideTheLimits checks that a request of the largest size is served in
+// calm, however it is sent.
+func TestSingleRequestsInsideTheLimits(t *testing.T) {
+	p := startTarget(t)
+	length := fmt.Sprintf("Content-Length: %d\r\n", bodyBytes)
+	var fields bytes.Buffer
+	for i := 0; fields.Len() < headerBytes-512; i++ {
+		fmt.Fprintf(&fields, "a%x:\r\n", i)
+	}
+	for name, send := range map[string]caller{
+		"body":                       wholeBody(orderHead(length), bodyBytes, bodyBytes),
+		"body in pieces":             wholeBody(orderHead(length), bodyBytes, pieceBytes),
+		"body in large chunks":       chunkedBody(bodyBytes, 32<<10),
+		"body in chunks of one byte": chunkedBody(bodyBytes, 1),
+		"head of one field":          func(c net.Conn, _ bool) { write(c, lookHead+"Long: "+string(filler[:headerBytes-512])+"\r\n\r\n") },
+		"head of many fields":        func(c net.Conn, _ bool) { write(c, lookHead+fields.String()+"\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", p.front())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_ = c.SetDeadline(time.Now().Add(patience))
+			send(c, true)
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _ = r.Body.Close(); r.StatusCode != http.StatusOK {
+				t.Errorf("status %d", r.StatusCode)
+			}
+		})
+	}
+	p.expectSound()
+}
+
 func TestHeadsOverTheLimit(t *testing.T) {
 	// The rest of the head never comes, or makes a whole head that is too long.
 	head := lookHead + "Long: " + string(filler[:3*headerBytes]) + "\r\n"
--- a/serve/door/body.go
+++ b/serve/door/body.go
@@ -3,15 +3,17 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"mime"
 	"net/http"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"carawaycross.example/carawaycross/core/admission"
 	"carawaycross.example/carawaycross/core/booking"
 	"carawaycross.example/carawaycross/core/node"
+	bodies "carawaycross.example/carawaycross/internal/body"
+	"carawaycross.example/carawaycross/serve/gate"
 )
 
 // The content types of request and response bodies.
@@ -43,7 +45,7 @@
 // read decodes the request body into m. If that fails, it writes a refusal and
 // returns false.
 func (s *Server) read(w http.ResponseWriter, r *http.Request, m proto.Message) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	body, _, err := bodies.ReadWithin(http.MaxBytesReader(w, r.Body, MaxBodyBytes), MaxBodyBytes, gate.RequestOf(r.Context()))
 	if err == nil {
 		err = Read(r.Header.Get("Content-Type"), body, m)
 	}
@@ -52,6 +54,11 @@
 	}
 	refusal := &node.Refusal{Outcome: booking.NotRun, Reason: badRequest, Detail: err.Error()}
 	var tooLargeErr *http.MaxBytesError
+	var turnedAway *gate.Error
+	if errors.As(err, &turnedAway) {
+		gate.CloseAfterAnswer(w)
+		refusal.Reason, refusal.RetryAfter = admission.NoMemory, gate.RetryAfter
+	}
 	if errors.As(err, &tooLargeErr) {
 		e := &Error{"read", TooLarge, fmt.Errorf("allowed: %d bytes", MaxBodyBytes)}
 		refusal.Detail = e.Error()
--- /dev/null
+++ b/serve/gate/conn.go
@@ -0,0 +1,253 @@
+package gate
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/intake"
+)
+
+const (
+	// A head of freeHeadBytes and freeHeadLines needs no reservation.
+	freeHeadBytes = 4 << 10
+	freeHeadLines = 32
+	// fieldCost is the memory that a field takes beside its bytes.
+	fieldCost = 512
+	// holdStep is the least number of bytes that are reserved at once.
+	holdStep = 4 << 10
+	// writePiece is the part of an answer that a caller has to read within answerTime.
+	writePiece = 64 << 10
+	// After a refusal of a head, at most lingerBytes that the caller still sends are read,
+	// for at most lingerTime: closing a connection with unread bytes may discard the
+	// refusal.
+	lingerBytes = 64 << 10
+	lingerTime  = 500 * time.Millisecond
+)
+
+// The refusals of a head that was not read to its end. The request has not run.
+const (
+	refusalEnd  = "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	longHead    = "HTTP/1.1 431 Request Header Fields Too Large" + refusalEnd
+	slowHead    = "HTTP/1.1 408 Request Timeout" + refusalEnd
+	noMemory    = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1" + refusalEnd
+	refusedTime = -time.Second
+)
+
+// A conn is a caller's connection. net/http reads it in one goroutine at a time.
+type conn struct {
+	net.Conn
+	gate *Gate
+	// phase and the counts of the head are written by the goroutine that reads requests,
+	// headBytes and headLines while the phase is Head.
+	headBytes, headLines, headHeld ident.Bytes
+
+	mu    sync.Mutex
+	phase intake.Phase
+	// deadline is the end of the time for what the caller has to send next; zero for none.
+	deadline time.Time
+	// aborted is true while net/http wants reads to fail.
+	aborted bool
+	// isRefused is true after the request was refused for memory.
+	isRefused bool
+}
+
+func newConn(g *Gate, inner net.Conn) *conn {
+	c := &conn{Conn: inner, gate: g}
+	c.setDeadline(time.Now().Add(g.times().HeadTime))
+	return c
+}
+
+// CloseWrite ends the sending side, for net/http.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.gate.update(func(_ ident.Instant, l *intake.Ledger[*conn]) { l.Close(c) })
+	return c.Conn.Close()
+}
+
+// SetReadDeadline is called by net/http to make reads fail, and with the zero time to let
+// them succeed again. The caller's own deadline applies besides.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = !t.IsZero()
+	if c.aborted && !c.isRefused {
+		return c.Conn.SetReadDeadline(t)
+	}
+	return c.armLocked()
+}
+
+// armLocked puts the deadline in force.
+func (c *conn) armLocked() error {
+	switch {
+	case c.isRefused:
+		return c.Conn.SetReadDeadline(time.Now().Add(refusedTime))
+	case c.aborted:
+		return nil
+	}
+	return c.Conn.SetReadDeadline(c.deadline)
+}
+
+func (c *conn) setDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	// It fails only on a closed connection, which reads report.
+	_ = c.armLocked()
+}
+
+// enter changes the phase and the deadline. It returns false if the caller was turned
+// away.
+func (c *conn) enter(phase intake.Phase, deadline time.Time) (ok bool) {
+	c.gate.update(func(now ident.Instant, l *intake.Ledger[*conn]) { ok = l.Enter(now, c, phase) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.deadline = phase, deadline
+	_ = c.armLocked()
+	return ok
+}
+
+// refuse makes reads of the request fail.
+func (c *conn) refuse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isRefused = true
+	_ = c.armLocked()
+}
+
+func (c *conn) refused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isRefused
+}
+
+func (c *conn) currentPhase() intake.Phase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase
+}
+
+// becomeIdle is called after an answer was written.
+func (c *conn) becomeIdle() {
+	var deadline time.Time
+	if idle := c.gate.times().Idle; idle > 0 {
+		deadline = time.Now().Add(idle)
+	}
+	c.enter(intake.Idle, deadline)
+}
+
+// begin is called when the head of a request was read. It returns false if the caller was
+// turned away before.
+func (c *conn) begin(hasBody bool) (r *Request, ok bool) {
+	r = &Request{conn: c, arrived: !hasBody}
+	r.users.Store(1)
+	if hasBody {
+		return r, c.enter(intake.Body, time.Now().Add(maxBodyTime))
+	}
+	return r, c.enter(intake.Running, time.Time{})
+}
+
+// Read returns what the caller sends. It ends a head that exceeds a limit with a refusal
+// and io.EOF, which net/http does not answer.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	phase := c.currentPhase()
+	if n == 0 {
+		if phase == intake.Head && errors.Is(err, os.ErrDeadlineExceeded) {
+			return 0, c.endHead()
+		}
+		return n, err
+	}
+	switch phase {
+	case intake.Waiting, intake.Idle:
+		c.headBytes, c.headLines, c.headHeld = 0, 0, 0
+		c.enter(intake.Head, time.Now().Add(c.gate.times().HeadTime))
+		return c.receiveHead(p[:n])
+	case intake.Head:
+		return c.receiveHead(p[:n])
+	case intake.Body:
+		c.gate.update(func(now ident.Instant, l *intake.Ledger[*conn]) { l.Receive(now, c, ident.Bytes(n)) })
+	case intake.Running, intake.Refused:
+	}
+	return n, err
+}
+
+// receiveHead counts bytes of a head, which may be followed by some of the body. It
+// returns their number, or 0 and io.EOF after a refusal.
+func (c *conn) receiveHead(p []byte) (int, error) {
+	c.headBytes += ident.Bytes(len(p))
+	c.headLines += ident.Bytes(bytes.Count(p, []byte("\n")))
+	if c.headBytes > c.gate.times().HeadBytes {
+		c.gate.turnAway(c, LongHead)
+		return 0, c.answer(longHead)
+	}
+	cost := max(c.headBytes-freeHeadBytes, 0) + fieldCost*max(c.headLines-freeHeadLines, 0)
+	if cost <= c.headHeld {
+		return len(p), nil
+	}
+	n := max(cost-c.headHeld, holdStep)
+	c.headHeld += n
+	if c.gate.hold(c, n) {
+		return len(p), nil
+	}
+	return 0, c.answer(noMemory)
+}
+
+// endHead ends a head that did not arrive in time or was refused.
+func (c *conn) endHead() error {
+	if c.refused() {
+		return c.answer(noMemory)
+	}
+	c.gate.turnAway(c, SlowHead)
+	return c.answer(slowHead)
+}
+
+// answer writes a refusal of a head and reads some of what the caller still sends. It
+// returns io.EOF.
+func (c *conn) answer(refusal string) error {
+	end := time.Now().Add(lingerTime)
+	// A caller that is gone needs no answer.
+	_ = c.SetDeadline(end)
+	if _, err := io.WriteString(c.Conn, refusal); err == nil && c.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return io.EOF
+}
+
+// Write sends a part of an answer. A caller that reads nothing for too long is cut off.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing(true)
+	defer c.writing(false)
+	written := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(answerTime)); err != nil {
+			return written, err
+		}
+		piece := p[written:min(len(p), written+writePiece)]
+		n, err := c.Conn.Write(piece)
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.gate.turnAway(c, UnreadAnswer)
+		}
+		if err != nil || written == len(p) {
+			return written, err
+		}
+		c.writing(true)
+	}
+}
+
+func (c *conn) writing(writing bool) {
+	c.gate.update(func(now ident.Instant, l *intake.Ledger[*conn]) { l.Write(now, c, writing) })
+}
--- /dev/null
+++ b/serve/gate/gate_test.go
@@ -0,0 +1,167 @@
+package gate_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/intake"
+	"carawaycross.example/carawaycross/internal/body"
+	"carawaycross.example/carawaycross/serve/clock"
+	"carawaycross.example/carawaycross/serve/gate"
+)
+
+const (
+	memory    = 64 << 10
+	bodyBytes = 16 << 10
+)
+
+// startServer serves on loopback through a gate. Its handler reads bodies as the product's
+// do, and answers /held only after release is closed.
+func startServer(t *testing.T, times gate.Times, release chan struct{}) (g *gate.Gate, address string) {
+	t.Helper()
+	g = gate.New(gate.Config{
+		Name: "test", Limits: intake.Limits{Connections: 8, Memory: memory}, Clock: clock.New(), Log: zerolog.Nop(),
+		Times: func() gate.Times { return times },
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := g.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request := gate.RequestOf(r.Context())
+		request.ArriveWithin(300 * time.Millisecond)
+		_, _, err := body.ReadWithin(r.Body, bodyBytes, request)
+		var turnedAway *gate.Error
+		switch {
+		case errors.As(err, &turnedAway):
+			gate.CloseAfterAnswer(w)
+			http.Error(w, string(turnedAway.Kind), map[gate.Reason]int{gate.Memory: 503, gate.SlowBody: 408}[turnedAway.Kind])
+			return
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if r.URL.Path == "/held" {
+			// An attempt outlives the answer.
+			request.Retain()
+			go func() { <-release; request.Done() }()
+		}
+	}))
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(g.Listener(l)) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
+	})
+	return g, l.Addr().String()
+}
+
+// send writes the start of a request and returns the connection.
+func send(t *testing.T, address, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// status returns the status of the response on a connection, 0 if it was closed without
+// one.
+func status(c net.Conn) int {
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = r.Body.Close()
+	return r.StatusCode
+}
+
+func post(path string, announced, sent int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", path, announced, strings.Repeat("x", sent))
+}
+
+// TestRequestsThatDoNotArrive checks what callers get whose requests exceed a limit or
+// come too slowly.
+func TestRequestsThatDoNotArrive(t *testing.T) {
+	_, address := startServer(t, gate.Times{HeadBytes: 1 << 10, HeadTime: 150 * time.Millisecond}, nil)
+	for name, c := range map[string]struct {
+		text string
+		want int
+	}{
+		"sound":         {post("/", bodyBytes, bodyBytes), 200},
+		"long head":     {"GET / HTTP/1.1\r\nLong: " + strings.Repeat("x", 12<<10), 431},
+		"many fields":   {"GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", 1000), 503},
+		"slow head":     {"GET / HTTP/1.1\r\nHost", 408},
+		"slow body":     {post("/", bodyBytes, bodyBytes-1), 408},
+		"slow chunks":   {"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", 408},
+		"asks nothing":  {"", 0},
+		"empty lines":   {"\r\n\r\n", 400},
+		"two at a time": {strings.Repeat(post("/", 10, 10), 2), 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := status(send(t, address, c.text)); got != c.want {
+				t.Errorf("status %d, expected %d", got, c.want)
+			}
+		})
+	}
+}
+
+// TestMemoryIsHeldUntilTheLastAttemptEnds checks that the memory of a request is reserved
+// while an attempt refers to it, and that others are refused for it meanwhile.
+func TestMemoryIsHeldUntilTheLastAttemptEnds(t *testing.T) {
+	release := make(chan struct{})
+	g, address := startServer(t, gate.Times{}, release)
+	held := ident.Bytes(0)
+	for held+bodyBytes <= memory {
+		if got := status(send(t, address, post("/held", bodyBytes, bodyBytes))); got != http.StatusOK {
+			t.Fatalf("status %d", got)
+		}
+		held = g.Stats().HeldBytes
+	}
+	if got := status(send(t, address, post("/", bodyBytes, bodyBytes))); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d while all memory is in use", got)
+	}
+	close(release)
+	for end := time.Now().Add(10 * time.Second); g.Stats().HeldBytes > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are still held", g.Stats().HeldBytes)
+		}
+	}
+	if got := status(send(t, address, post("/", bodyBytes, bodyBytes))); got != http.StatusOK {
+		t.Errorf("status %d after the memory was returned", got)
+	}
+	if n := g.Stats().TurnedAway[gate.Memory]; n != 1 {
+		t.Errorf("%d callers turned away, expected 1", n)
+	}
+}
+
+// TestRequestWithoutGate checks that a handler runs without a gate.
+func TestRequestWithoutGate(t *testing.T) {
+	request := gate.RequestOf(context.Background())
+	request.ArriveWithin(time.Second)
+	if _, n, err := body.ReadWithin(strings.NewReader("abc"), bodyBytes, request); err != nil || n == 0 {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	request.Retain()
+	request.Release(1)
+	request.Done()
+}
--- a/serve/settings/check.go
+++ b/serve/settings/check.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"regexp"
@@ -30,6 +31,14 @@
 	defaultReplyMemory = 64 << 20
 	minReplyMemory     = 1 << 20
 	maxReplyMemory     = 64 << 30
+	// Request memory is in bytes. A listener must hold a request of the largest size that
+	// the operators' door reads.
+	defaultRequestMemory     = 64 << 20
+	minRequestMemory         = 2 << 20
+	maxRequestMemory         = 64 << 30
+	defaultCallerConnections = 4096
+	minCallerConnections     = 16
+	maxCallerConnections     = 1 << 20
 )
 
 // namePattern excludes dots from names, because dots separate the fields of a ticket.
@@ -59,6 +68,12 @@
 	if m.Discovery != nil && m.Discovery.ReplyMemoryBytes == 0 {
 		m.Discovery.ReplyMemoryBytes = defaultReplyMemory
 	}
+	m.Vm.RequestMemoryBytes = cmp.Or(m.Vm.RequestMemoryBytes, defaultRequestMemory)
+	m.Vm.CallerConnections = cmp.Or(m.Vm.CallerConnections, defaultCallerConnections)
+	if d := m.Discovery; d != nil {
+		d.RequestMemoryBytes = cmp.Or(d.RequestMemoryBytes, defaultRequestMemory)
+		d.CallerConnections = cmp.Or(d.CallerConnections, defaultCallerConnections)
+	}
 	if m.LogLevel == "" {
 		m.LogLevel = "info"
 	}
@@ -136,6 +151,7 @@
 	if m.Vm.Operators != "" {
 		c.address("vm.operators", m.Vm.Operators)
 	}
+	c.callers("vm", m.Vm.RequestMemoryBytes, m.Vm.CallerConnections)
 	c.duration("vm.stop-within", m.Vm.StopWithin, time.Millisecond, maxStopWithin)
 	c.duration("vm.leave-notice", m.Vm.LeaveNotice, 0, m.Vm.StopWithin.AsDuration())
 	c.address("platform.address", m.Platform.Address)
@@ -192,7 +208,16 @@
 	}
 }
 
+// callers checks the limits of a listener for callers.
+func (c *checker) callers(path string, memory uint64, connections uint32) {
+	if memory < minRequestMemory || memory > maxRequestMemory {
+		c.add(path+".request-memory-bytes", "found %d, allowed %d to %d", memory, minRequestMemory, int64(maxRequestMemory))
+	}
+	c.count(path+".caller-connections", connections, minCallerConnections, maxCallerConnections)
+}
+
 func (c *checker) discovery(d *schema.DiscoverySettings) {
+	c.callers("discovery", d.RequestMemoryBytes, d.CallerConnections)
 	if v := d.ReplyMemoryBytes; v < minReplyMemory || v > maxReplyMemory {
 		c.add("discovery.reply-memory-bytes", "found %d, allowed %d to %d", v, minReplyMemory, int64(maxReplyMemory))
 	}
--- a/serve/settings/typed.go
+++ b/serve/settings/typed.go
@@ -3,6 +3,7 @@
 import (
 	"carawaycross.example/carawaycross/core/config"
 	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/intake"
 	"carawaycross.example/carawaycross/core/preset"
 	"carawaycross.example/carawaycross/core/retry"
 	"carawaycross.example/carawaycross/core/roster"
@@ -91,9 +92,16 @@
 	return ident.Bytes(s.Message.GetDiscovery().GetReplyMemoryBytes())
 }
 
-// RequestMemory returns the most bytes that callers' requests may take.
-func (s *Settings) RequestMemory() ident.Bytes {
-	return ident.Bytes(s.Message.GetDiscovery().GetRequestMemoryBytes())
+// CallerLimits returns the limits of the listener for callers.
+func (s *Settings) CallerLimits() intake.Limits {
+	vm := s.Message.Vm
+	return intake.Limits{Connections: int(vm.CallerConnections), Memory: ident.Bytes(vm.RequestMemoryBytes)}
+}
+
+// FrontLimits returns the limits of the listener for clients of discovered routes.
+func (s *Settings) FrontLimits() intake.Limits {
+	d := s.Message.GetDiscovery()
+	return intake.Limits{Connections: int(d.GetCallerConnections()), Memory: ident.Bytes(d.GetRequestMemoryBytes())}
 }
 
 // QuotaLimits returns the limits of the extra attempts to discovered services.
--- a/serve/traffic/loop.go
+++ b/serve/traffic/loop.go
@@ -94,6 +94,8 @@
 	// query is only accessed by the goroutine of the loop.
 	query   ident.QueryID
 	arrival node.Arrival
+	// holder is nil if nobody counts the memory of the request.
+	holder Holder
 	// reserved is the memory of the replies to the request. The goroutine of the loop
 	// writes it before it sends the answer.
 	reserved ident.Bytes
@@ -105,6 +107,13 @@
 	cancel context.CancelFunc
 }
 
+// A Holder keeps the memory of a request reserved while attempts refer to it.
+type Holder interface {
+	Retain()
+	// Done ends the use that a Retain began.
+	Done()
+}
+
 // A Loop is the event loop that owns one node.Core. Once it is started, its methods may
 // be called from several goroutines.
 type Loop struct {
@@ -182,7 +191,13 @@
 // Serve is Ask, but passes the answer to write. The memory of the replies that the
 // answer holds stays reserved until write returns.
 func (l *Loop) Serve(ctx context.Context, a node.Arrival, write func(*node.Answer)) {
-	w := &waiter{answer: make(chan *node.Answer, 1), arrival: a}
+	l.ServeHeld(ctx, a, nil, write)
+}
+
+// ServeHeld is Serve, and retains the holder for each attempt until the attempt has
+// ended, which may be after ServeHeld returns.
+func (l *Loop) ServeHeld(ctx context.Context, a node.Arrival, holder Holder, write func(*node.Answer)) {
+	w := &waiter{answer: make(chan *node.Answer, 1), arrival: a, holder: holder}
 	answer := l.await(ctx, w)
 	write(answer)
 	if answer != nil {
@@ -418,8 +433,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l.attempts[a.Attempt] = runningAttempt{a.Query, cancel}
 	l.workers++
+	done := func() {}
+	if w := l.waiters[a.Query]; w != nil && w.holder != nil {
+		w.holder.Retain()
+		done = w.holder.Done
+	}
 	go func() {
 		reply := l.config.Upstream.Send(ctx, &a)
+		done()
 		l.inbox <- event{kind: replied, reply: reply}
 	}()
 }
--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -113,8 +113,8 @@
 		_ = front.Close()
 		return &Error{"listen", CannotStart, err}
 	}
-	v.serve(ctx, front, d.Front(v.traffic, v.views, func() bool { return v.apiServer.Leaving() || v.cutOff.Load() }))
-	v.serve(ctx, ready, d.Ready(func() bool { return v.apiServer.Ready() && !v.cutOff.Load() }))
+	v.serve(ctx, v.gates.front, front, d.Front(v.traffic, v.views, func() bool { return v.apiServer.Leaving() || v.cutOff.Load() }))
+	v.serve(ctx, v.gates.ready, ready, d.Ready(func() bool { return v.apiServer.Ready() && !v.cutOff.Load() }))
 	v.group.Go(ctx, v.monitorReach)
 	v.group.Go(ctx, v.mirrors.prober.Run)
 	r := &v.mirrors.readers
--- a/serve/vm/reload.go
+++ b/serve/vm/reload.go
@@ -25,14 +25,16 @@
 }
 
 // Reload puts checked settings into force while the VM runs: the times of a stop, the
-// limits of extra attempts and the memory for replies. It returns the names of the other
-// settings that changed, which take effect at the next start.
+// limits of extra attempts, the memory for replies and the limits for callers. It returns
+// the names of the other settings that changed, which take effect at the next start.
 func (v *VM) Reload(ctx context.Context, next *settings.Settings) (restart []string) {
 	v.stopTimes.Store(stopTimesOf(next))
+	v.gates.callers.SetLimits(next.CallerLimits())
 	if v.discovery != nil {
 		limits := next.QuotaLimits()
 		v.updateControl(ctx, func(now ident.Instant, core *control.Core) { core.SetQuotaLimits(now, limits) })
 		v.discovery.ReplyMemory.SetLimit(next.ReplyMemory())
+		v.gates.front.SetLimits(next.FrontLimits())
 	}
 	return changedFields(withoutReloadable(v.settings.Message), withoutReloadable(next.Message))
 }
@@ -40,9 +42,10 @@
 // withoutReloadable returns a copy of settings without those that Reload puts into force.
 func withoutReloadable(m *schema.Settings) *schema.Settings {
 	m = proto.Clone(m).(*schema.Settings)
-	m.Vm.StopWithin, m.Vm.LeaveNotice = nil, nil
+	m.Vm.StopWithin, m.Vm.LeaveNotice, m.Vm.RequestMemoryBytes, m.Vm.CallerConnections = nil, nil, 0, 0
 	if d := m.Discovery; d != nil {
 		d.ExtraRatio, d.ExtraAllowance, d.ExtraSpan, d.ReplyMemoryBytes = 0, 0, nil, 0
+		d.RequestMemoryBytes, d.CallerConnections = 0, 0
 	}
 	return m
 }
--- a/serve/vm/status.go
+++ b/serve/vm/status.go
@@ -166,6 +166,7 @@
 	if memory := v.replyMemory(); memory != nil {
 		publish("reply-memory", func() any { return memory.Used() })
 	}
+	publish("callers", v.gates.stats)
 	publish("queries-in-flight", func() any { return v.traffic.InFlight() })
 	publish("reports-dropped", func() any { return v.traffic.DroppedNews() })
 	publish("messages-dropped", func() any { return v.control.droppedMessages.Load() })
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -24,6 +24,7 @@
 	"carawaycross.example/carawaycross/serve/claim"
 	"carawaycross.example/carawaycross/serve/clock"
 	"carawaycross.example/carawaycross/serve/door"
+	"carawaycross.example/carawaycross/serve/gate"
 	"carawaycross.example/carawaycross/serve/gauge"
 	"carawaycross.example/carawaycross/serve/operator"
 	"carawaycross.example/carawaycross/serve/peer"
@@ -36,7 +37,6 @@
 
 const (
 	maxTasks          = 16
-	headerTimeout     = 5 * time.Second
 	drainPollInterval = 10 * time.Millisecond
 	// answerMargin is the time before the end of a graceful stop at which the requests
 	// that still wait are answered with what is known. At most answerMarginFraction of
@@ -93,6 +93,7 @@
 	gauges           *gauge.Set
 	apiServer        *door.Server
 	servers          []*http.Server
+	gates            *gates
 	callerListener   net.Listener
 	operatorListener net.Listener
 	group            *task.Group
@@ -127,6 +128,7 @@
 		gauges: &gauge.Set{}, store: o.Store, group: task.NewGroup(maxTasks), discovery: o.Discovery, cutOffNotices: make(chan struct{}, 1),
 	}
 	v.stopTimes.Store(stopTimesOf(s))
+	v.gates = newGates(v)
 	if o.Discovery != nil {
 		v.upstream = o.Discovery.UpstreamClient
 	}
@@ -273,21 +275,21 @@
 	if v.operatorListener == nil {
 		callers = v.apiServer.CombinedHandler()
 	} else {
-		v.serve(ctx, v.operatorListener, v.apiServer.OperatorHandler())
+		v.serve(ctx, v.gates.operators, v.operatorListener, v.apiServer.OperatorHandler())
 	}
-	v.serve(ctx, v.callerListener, callers)
+	v.serve(ctx, v.gates.callers, v.callerListener, callers)
 }
 
-func (v *VM) serve(ctx context.Context, l net.Listener, h http.Handler) {
+func (v *VM) serve(ctx context.Context, g *gate.Gate, l net.Listener, h http.Handler) {
 	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		v.handling.Add(1)
 		defer v.handling.Add(-1)
 		h.ServeHTTP(w, r)
 	})
-	server := &http.Server{Handler: counted, ReadHeaderTimeout: headerTimeout}
+	server := g.Server(counted)
 	v.servers = append(v.servers, server)
 	v.group.Go(ctx, func(context.Context) {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(g.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 			v.log.Error().Err(err).Msg("door-closed")
 		}
 	})
