intake: tests of trickled bodies, connections that ask once, and the last idle one

Each was seen red with its mechanism taken out: the rate of a slow body, the order of idle connections, the share that stays idle, requests that run.

--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -59,19 +59,23 @@
 }
 
 // TestBodiesThatTrickle has a crowd that keeps sending its bodies, a byte at a time. One
-// that moves at an ordinary rate is held, although it is larger.
+// that moves at an ordinary rate is held, although it has cost more so far.
 func TestBodiesThatTrickle(t *testing.T) {
 	l, now := newLedger(), start
-	for k := range 16 {
-		arrive(l, now, k, memory/16)
+	const crowd, size = 36, memory / 43
+	for k := range crowd {
+		arrive(l, now, k, size)
 	}
-	for range 60 {
+	ordinary := arrive(l, now.Add(5*time.Second), -1, largeBody/2)
+	for range 62 {
 		now = now.Add(100 * time.Millisecond)
-		for k := range 16 {
+		for k := range crowd {
 			l.Receive(now, k, 1)
 		}
 	}
-	if !arrive(l, now, -1, largeBody) || l.Used() > memory {
+	l.Receive(now, -1, largeBody/2)
+	_, ok := l.Hold(now, -1, largeBody/2)
+	if !ordinary || !ok || l.Used() > memory {
 		t.Errorf("a body was refused beside others that trickle; %d bytes in use", l.Used())
 	}
 }
@@ -101,22 +105,51 @@
 	}
 }
 
+// TestConnectionsThatAskOnce has a flood of connections that ask once and stay open.
+// Callers that were there before, and come back now and then, keep theirs.
+func TestConnectionsThatAskOnce(t *testing.T) {
+	l, now := newLedger(), start
+	ask := func(k int) {
+		l.Enter(now, k, intake.Running)
+		l.Enter(now, k, intake.Idle)
+	}
+	const kept = 5
+	for k := range 20 * connections {
+		if now = now.Add(time.Millisecond); k >= kept && k%7 == 0 {
+			ask(k % kept)
+		}
+		if victim, turnedAway, ok := l.Open(now, k); !ok || (turnedAway && victim < kept) {
+			t.Fatalf("connection %d: opened %v, in place of %d", k, ok, victim)
+		}
+		ask(k)
+	}
+}
+
 // TestAnswersThatAreNotRead has callers that read nothing of their answers. They make
-// room once they have stood still, also where every connection is taken.
+// room once they have stood still; requests that run, and the one connection that is
+// idle, do not.
 func TestAnswersThatAreNotRead(t *testing.T) {
 	l, now := newLedger(), start
 	for k := range connections {
 		l.Open(now, k)
 		l.Enter(now, k, intake.Running)
-		l.Write(now, k, true)
+		l.Write(now, k, k%2 == 0)
 	}
+	l.Enter(now, 1, intake.Idle)
 	if _, _, ok := l.Open(now, -1); ok {
-		t.Error("a request that runs was cut off")
+		t.Error("a request that runs, or the last idle connection, was cut off")
 	}
 	now = now.Add(2 * time.Second)
 	l.Write(now, 0, true)
-	if victim, _, ok := l.Open(now, -1); !ok || victim == 0 {
-		t.Errorf("opened %v in place of %d, which reads its answer", ok, victim)
+	for k := range connections/2 - 1 {
+		if victim, _, ok := l.Open(now, connections+k); !ok || victim == 0 || victim%2 != 0 {
+			t.Errorf("opened %v in place of %d", ok, victim)
+		}
+		l.Enter(now, connections+k, intake.Running)
+	}
+	l.Enter(now, 1, intake.Running)
+	if victim, _, ok := l.Open(now, -1); ok {
+		t.Errorf("connection %d was cut off, although all others are in use", victim)
 	}
 }
 
