gate: the memory of a refused head counts until its connection is closed

A head that was refused for memory was released at once, but lived for the half second for which the rest of it was read away.

A refusal for memory now closes without that wait; after 431 the wait ends as soon as memory runs short. A request's memory is returned when its answer has been written or its connection is closed, not at the handler's end. The handler gets a copy of the request, so that net/http still finds its own body after the answer; a request that was answered before its body arrived has a phase of its own. The time for a head is never below the 5 s of before.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -22,8 +22,13 @@
 	Body
 	// Running means that a whole request has arrived and is not answered.
 	Running
+	// Discarding means that a request was answered before its body has arrived.
+	Discarding
 	// Refused means that the caller was turned away and the connection is about to close.
 	Refused
+	// Closed means that the connection was closed for another one. It is not counted, but
+	// its memory is until Close.
+	Closed
 )
 
 const (
@@ -57,7 +62,7 @@
 	writing bool
 	// received counts the bytes of the body that have arrived.
 	received ident.Bytes
-	// held is the memory of the request. It is 0 in the phases Waiting, Idle and Refused.
+	// held is the memory of the request. It is 0 in the phases Waiting and Idle.
 	held ident.Bytes
 }
 
@@ -70,6 +75,8 @@
 		return still >= slowAfter
 	case c.phase == Waiting, c.phase == Head:
 		return age >= slowAfter
+	case c.phase == Discarding:
+		return still >= slowAfter
 	case c.phase == Body:
 		return still >= slowAfter || (age >= slowAfter && float64(c.received) < float64(slowRate)*age.Seconds())
 	}
@@ -88,7 +95,9 @@
 type Ledger[K comparable] struct {
 	limits      Limits
 	connections map[K]*connection
-	opened      uint64
+	// open is the number of connections that are not Closed.
+	open   int
+	opened uint64
 	// used is the memory of all requests: the sum of held, and what was detached.
 	used ident.Bytes
 }
@@ -102,21 +111,23 @@
 func (l *Ledger[K]) SetLimits(limits Limits) { l.limits = limits }
 
 // Len returns the number of open connections.
-func (l *Ledger[K]) Len() int { return len(l.connections) }
+func (l *Ledger[K]) Len() int { return l.open }
 
 // Used returns the memory of all requests.
 func (l *Ledger[K]) Used() ident.Bytes { return l.used }
 
-// Open records a new connection. If that exceeds the limit, the connection of another
-// caller is removed and returned as victim. If nobody can be turned away, k is not
-// recorded and ok is false.
+// Open records a new connection. If that exceeds the limit, victim is the connection of
+// another caller that must be closed. If nobody can be turned away, k is not recorded and
+// ok is false.
 func (l *Ledger[K]) Open(now ident.Instant, k K) (victim K, turnedAway, ok bool) {
-	if l.limits.Connections > 0 && len(l.connections) >= l.limits.Connections {
+	if l.limits.Connections > 0 && l.open >= l.limits.Connections {
 		if victim, turnedAway = l.leastMissed(now); !turnedAway {
 			return victim, false, false
 		}
-		l.Close(victim)
+		l.connections[victim].phase = Closed
+		l.open--
 	}
+	l.open++
 	l.opened++
 	l.connections[k] = &connection{serial: l.opened, began: now, moved: now}
 	return victim, turnedAway, true
@@ -139,6 +150,8 @@
 
 func (c *connection) class(now ident.Instant) uint8 {
 	switch {
+	case c.phase == Closed:
+		return neverClosed
 	case c.phase == Refused:
 		return closing
 	case c.slow(now):
@@ -179,7 +192,7 @@
 			victim, first, class = k, c, other
 		}
 	}
-	if first == nil || (class == idleCallers && idle <= len(l.connections)/idleShare) {
+	if first == nil || (class == idleCallers && idle <= l.open/idleShare) {
 		return victim, false
 	}
 	return victim, true
@@ -187,20 +200,25 @@
 
 // Close removes a connection and releases the memory that it holds.
 func (l *Ledger[K]) Close(k K) {
-	if c := l.connections[k]; c != nil {
-		l.used -= c.held
-		delete(l.connections, k)
+	c := l.connections[k]
+	if c == nil {
+		return
+	}
+	if c.phase != Closed {
+		l.open--
 	}
+	l.used -= c.held
+	delete(l.connections, k)
 }
 
 // Enter records that a connection enters a phase. It returns false if the caller was
 // turned away.
 func (l *Ledger[K]) Enter(now ident.Instant, k K, phase Phase) bool {
 	c := l.connections[k]
-	if c == nil || c.phase == Refused {
+	if c == nil || c.phase >= Refused {
 		return false
 	}
-	if phase == Head || phase == Idle || (phase == Body && c.phase != Head) {
+	if phase == Head || phase == Idle || phase == Discarding || (phase == Body && c.phase != Head) {
 		c.began = now
 	}
 	c.phase, c.moved = phase, now
@@ -226,12 +244,12 @@
 }
 
 // Hold reserves n bytes for the request of a connection. Where they do not fit, it
-// refuses requests that are still arriving and returns their connections, which hold
-// nothing then. It returns false, and reserves nothing, if the connection's own request
-// is the one to refuse.
+// refuses requests that are still arriving and returns their connections, which must
+// release their memory at once. It returns false, and reserves nothing, if the
+// connection's own request is the one to refuse.
 func (l *Ledger[K]) Hold(now ident.Instant, k K, n ident.Bytes) (refused []K, ok bool) {
 	c := l.connections[k]
-	if c == nil || c.phase == Refused {
+	if c == nil || c.phase >= Refused {
 		return nil, false
 	}
 	c.held += n
@@ -248,12 +266,12 @@
 	return refused, true
 }
 
-// costliest returns the connection whose arriving request is refused first: a slow one
-// before others, then the one with the largest memory times age.
+// costliest returns the connection whose request is refused first: one that is refused
+// already, then a slow one, then the one with the largest memory times age.
 func (l *Ledger[K]) costliest(now ident.Instant) (victim K, found bool) {
 	var worst *connection
 	for k, c := range l.connections {
-		if c.held == 0 || (c.phase != Head && c.phase != Body) {
+		if c.held == 0 || (c.phase != Head && c.phase != Body && c.phase != Refused) {
 			continue
 		}
 		if worst == nil || costlier(now, c, worst) {
@@ -264,6 +282,9 @@
 }
 
 func costlier(now ident.Instant, a, b *connection) bool {
+	if refused := a.phase == Refused; refused != (b.phase == Refused) {
+		return refused
+	}
 	if slow := a.slow(now); slow != b.slow(now) {
 		return slow
 	}
@@ -273,17 +294,18 @@
 	return a.before(b)
 }
 
-// refuse releases the memory of a request that is not processed.
+// refuse turns a caller away and releases the memory of its request.
 func (l *Ledger[K]) refuse(k K) {
 	c := l.connections[k]
 	l.used -= c.held
 	c.held, c.phase = 0, Refused
 }
 
-// Refuse records that a caller was turned away for another reason than memory.
+// Refuse records that a caller was turned away for another reason than memory. Its memory
+// stays in use until Close.
 func (l *Ledger[K]) Refuse(k K) {
-	if l.connections[k] != nil {
-		l.refuse(k)
+	if c := l.connections[k]; c != nil && c.phase != Closed {
+		c.phase = Refused
 	}
 }
 
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -170,6 +170,7 @@
 					t.Fatalf("connection %d was closed while its request ran", victim)
 				}
 				if turnedAway {
+					l.Close(victim)
 					delete(phases, victim)
 				}
 				if ok {
--- a/serve/door/body.go
+++ b/serve/door/body.go
@@ -56,7 +56,7 @@
 	var tooLargeErr *http.MaxBytesError
 	var turnedAway *gate.Error
 	if errors.As(err, &turnedAway) {
-		gate.CloseAfterAnswer(w)
+		w.Header().Set("Connection", "close")
 		refusal.Reason, refusal.RetryAfter = admission.NoMemory, gate.RetryAfter
 	}
 	if errors.As(err, &tooLargeErr) {
--- a/serve/gate/conn.go
+++ b/serve/gate/conn.go
@@ -23,7 +23,7 @@
 	holdStep = 4 << 10
 	// writePiece is the part of an answer that a caller has to read within answerTime.
 	writePiece = 64 << 10
-	// After a refusal of a head, at most lingerBytes that the caller still sends are read,
+	// After a refusal of a long head, at most lingerBytes that the caller still sends are read,
 	// for at most lingerTime: closing a connection with unread bytes may discard the
 	// refusal.
 	lingerBytes = 64 << 10
@@ -46,6 +46,12 @@
 	// phase and the counts of the head are written by the goroutine that reads requests,
 	// headBytes and headLines while the phase is Head.
 	headBytes, headLines, headHeld ident.Bytes
+	// counted is true after the caller was counted as turned away. The mutex of the Gate
+	// guards it.
+	counted bool
+	// request is the latest request; nil after its answer was written. It is written by the
+	// goroutine that reads requests, and the mutex of the Gate guards it.
+	request *Request
 
 	mu    sync.Mutex
 	phase intake.Phase
@@ -73,10 +79,26 @@
 
 // Close closes the connection.
 func (c *conn) Close() error {
-	c.gate.update(func(_ ident.Instant, l *intake.Ledger[*conn]) { l.Close(c) })
+	c.gate.update(func(_ ident.Instant, l *intake.Ledger[*conn]) {
+		c.endRequest(l)
+		l.Close(c)
+	})
 	return c.Conn.Close()
 }
 
+// endRequest ends the connection's use of its request. Attempts may still refer to it.
+func (c *conn) endRequest(l *intake.Ledger[*conn]) {
+	r := c.request
+	if r == nil {
+		return
+	}
+	c.request = nil
+	r.detached = l.Detach(c)
+	if r.users--; r.users == 0 {
+		l.Return(r.detached)
+	}
+}
+
 // SetReadDeadline is called by net/http to make reads fail, and with the zero time to let
 // them succeed again. The caller's own deadline applies besides.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -145,14 +167,15 @@
 	if idle := c.gate.times().Idle; idle > 0 {
 		deadline = time.Now().Add(idle)
 	}
+	c.gate.update(func(_ ident.Instant, l *intake.Ledger[*conn]) { c.endRequest(l) })
 	c.enter(intake.Idle, deadline)
 }
 
 // begin is called when the head of a request was read. It returns false if the caller was
 // turned away before.
 func (c *conn) begin(hasBody bool) (r *Request, ok bool) {
-	r = &Request{conn: c, arrived: !hasBody}
-	r.users.Store(1)
+	r = &Request{conn: c, users: 1, arrived: !hasBody}
+	c.gate.update(func(ident.Instant, *intake.Ledger[*conn]) { c.request = r })
 	if hasBody {
 		return r, c.enter(intake.Body, time.Now().Add(maxBodyTime))
 	}
@@ -177,9 +200,9 @@
 		return c.receiveHead(p[:n])
 	case intake.Head:
 		return c.receiveHead(p[:n])
-	case intake.Body:
+	case intake.Body, intake.Discarding:
 		c.gate.update(func(now ident.Instant, l *intake.Ledger[*conn]) { l.Receive(now, c, ident.Bytes(n)) })
-	case intake.Running, intake.Refused:
+	case intake.Running, intake.Refused, intake.Closed:
 	}
 	return n, err
 }
@@ -191,7 +214,9 @@
 	c.headLines += ident.Bytes(bytes.Count(p, []byte("\n")))
 	if c.headBytes > c.gate.times().HeadBytes {
 		c.gate.turnAway(c, LongHead)
-		return 0, c.answer(longHead)
+		err := c.answer(longHead)
+		c.linger()
+		return 0, err
 	}
 	cost := max(c.headBytes-freeHeadBytes, 0) + fieldCost*max(c.headLines-freeHeadLines, 0)
 	if cost <= c.headHeld {
@@ -214,18 +239,24 @@
 	return c.answer(slowHead)
 }
 
-// answer writes a refusal of a head and reads some of what the caller still sends. It
-// returns io.EOF.
+// answer writes a refusal of a head. It returns io.EOF.
 func (c *conn) answer(refusal string) error {
-	end := time.Now().Add(lingerTime)
 	// A caller that is gone needs no answer.
-	_ = c.SetDeadline(end)
-	if _, err := io.WriteString(c.Conn, refusal); err == nil && c.CloseWrite() == nil {
-		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	if c.SetWriteDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.WriteString(c.Conn, refusal)
 	}
 	return io.EOF
 }
 
+// linger reads some of what the caller still sends after a refusal. A refusal for memory
+// ends it.
+func (c *conn) linger() {
+	if c.CloseWrite() == nil {
+		c.setDeadline(time.Now().Add(lingerTime))
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+}
+
 // Write sends a part of an answer. A caller that reads nothing for too long is cut off.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing(true)
--- a/serve/gate/gate.go
+++ b/serve/gate/gate.go
@@ -49,8 +49,8 @@
 	// the whole head.
 	headFactor = 2
 	headMargin = 8 << 10
-	// defaultHeadTime applies while the configuration has no time-out.
-	defaultHeadTime = 5 * time.Second
+	// minHeadTime is the least time for a head or for the rest of a body that is not wanted.
+	minHeadTime = 5 * time.Second
 	// timeFactor is applied to the configuration's time-outs, so that a stall of this
 	// process is not taken for one of its callers.
 	timeFactor = 2
@@ -154,14 +154,16 @@
 		defer request.end()
 		if !ok {
 			w.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter/time.Second)))
-			CloseAfterAnswer(w)
+			w.Header().Set("Connection", "close")
 			http.Error(w, string(Memory), http.StatusServiceUnavailable)
 			return
 		}
+		// net/http looks at the body of r after the answer.
+		r = r.WithContext(context.WithValue(r.Context(), requestKey{}, request))
 		if r.ContentLength != 0 {
 			r.Body = &requestBody{r.Body, request}
 		}
-		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestKey{}, request)))
+		h.ServeHTTP(w, r)
 	})
 }
 
@@ -193,8 +195,11 @@
 func (g *Gate) open(c *conn) bool {
 	g.mu.Lock()
 	victim, turnedAway, ok := g.ledger.Open(g.config.Clock.Now(), c)
-	if turnedAway || !ok {
-		g.countLocked(Connections)
+	switch {
+	case turnedAway:
+		g.countLocked(victim, Connections)
+	case !ok:
+		g.countLocked(c, Connections)
 	}
 	g.mu.Unlock()
 	if turnedAway {
@@ -207,11 +212,11 @@
 func (g *Gate) hold(c *conn, n ident.Bytes) bool {
 	g.mu.Lock()
 	refused, ok := g.ledger.Hold(g.config.Clock.Now(), c, n)
-	for range refused {
-		g.countLocked(Memory)
+	for _, victim := range refused {
+		g.countLocked(victim, Memory)
 	}
 	if !ok {
-		g.countLocked(Memory)
+		g.countLocked(c, Memory)
 	}
 	g.mu.Unlock()
 	for _, victim := range refused {
@@ -232,12 +237,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ledger.Refuse(c)
-	g.countLocked(reason)
+	g.countLocked(c, reason)
 }
 
-// countLocked counts a caller that is turned away, and logs the counts since the latest
-// line from time to time.
-func (g *Gate) countLocked(reason Reason) {
+// countLocked counts a caller that is turned away, once for each connection, and logs the
+// counts since the latest line from time to time.
+func (g *Gate) countLocked(c *conn, reason Reason) {
+	if c.counted {
+		return
+	}
+	c.counted = true
 	g.turnedAway[reason]++
 	now := g.config.Clock.Now()
 	if g.loggedAt != 0 && now.Sub(g.loggedAt) < logInterval {
@@ -257,11 +266,7 @@
 	if g.config.Times != nil {
 		t = g.config.Times()
 	}
-	if t.HeadTime > 0 {
-		t.HeadTime *= timeFactor
-	} else {
-		t.HeadTime = defaultHeadTime
-	}
+	t.HeadTime = max(timeFactor*t.HeadTime, minHeadTime)
 	t.Idle *= timeFactor
 	if t.HeadBytes > 0 {
 		t.HeadBytes = min(headFactor*t.HeadBytes+headMargin, maxHeadBytes)
--- a/serve/gate/gate_test.go
+++ b/serve/gate/gate_test.go
@@ -45,7 +45,7 @@
 		var turnedAway *gate.Error
 		switch {
 		case errors.As(err, &turnedAway):
-			gate.CloseAfterAnswer(w)
+			w.Header().Set("Connection", "close")
 			http.Error(w, string(turnedAway.Kind), map[gate.Reason]int{gate.Memory: 503, gate.SlowBody: 408}[turnedAway.Kind])
 			return
 		case err != nil:
@@ -102,7 +102,6 @@
 // TestRequestsThatDoNotArrive checks what callers get whose requests exceed a limit or
 // come too slowly.
 func TestRequestsThatDoNotArrive(t *testing.T) {
-	_, address := startServer(t, gate.Times{HeadBytes: 1 << 10, HeadTime: 150 * time.Millisecond}, nil)
 	for name, c := range map[string]struct {
 		text string
 		want int
@@ -118,6 +117,8 @@
 		"two at a time": {strings.Repeat(post("/", 10, 10), 2), 200},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, address := startServer(t, gate.Times{HeadBytes: 1 << 10, HeadTime: time.Second}, nil)
 			if got := status(send(t, address, c.text)); got != c.want {
 				t.Errorf("status %d, expected %d", got, c.want)
 			}
--- a/serve/gate/request.go
+++ b/serve/gate/request.go
@@ -5,10 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
-	"strings"
-	"sync/atomic"
 	"time"
 
 	"carawaycross.example/carawaycross/core/ident"
@@ -34,10 +31,10 @@
 // which has no bounds.
 type Request struct {
 	conn *conn
-	// users counts the handler and the attempts that refer to the request.
-	users atomic.Int32
-	// detached is the memory that the last user returns. The handler writes it before its
-	// own use ends.
+	// users counts the connection and the attempts that refer to the request. detached is
+	// the memory that the last user returns, 0 while the connection is a user. The mutex
+	// of the Gate guards both.
+	users    int
 	detached ident.Bytes
 	// arrived is true after the end of the body. Only the handler's goroutine accesses it.
 	arrived bool
@@ -76,32 +73,28 @@
 // Retain keeps the memory of the request reserved until a matching Done.
 func (r *Request) Retain() {
 	if r != nil {
-		r.users.Add(1)
+		r.conn.gate.update(func(ident.Instant, *intake.Ledger[*conn]) { r.users++ })
 	}
 }
 
 // Done ends a use of the request. The last one returns its memory.
 func (r *Request) Done() {
-	if r == nil || r.users.Add(-1) > 0 || r.detached == 0 {
+	if r == nil {
 		return
 	}
-	r.conn.gate.update(func(_ ident.Instant, l *intake.Ledger[*conn]) { l.Return(r.detached) })
+	r.conn.gate.update(func(_ ident.Instant, l *intake.Ledger[*conn]) {
+		if r.users--; r.users == 0 {
+			l.Return(r.detached)
+		}
+	})
 }
 
-// end ends the handler's use. What is left of the body must arrive soon, or the
-// connection is closed.
+// end is called when the handler has ended. What is left of the body must arrive soon, or
+// the connection is closed.
 func (r *Request) end() {
-	c := r.conn
-	c.gate.update(func(now ident.Instant, l *intake.Ledger[*conn]) {
-		r.detached = l.Detach(c)
-		if !r.arrived {
-			l.Enter(now, c, intake.Body)
-		}
-	})
 	if !r.arrived {
-		c.setDeadline(time.Now().Add(defaultHeadTime))
+		r.conn.enter(intake.Discarding, time.Now().Add(minHeadTime))
 	}
-	r.Done()
 }
 
 // arrive records that the whole request has arrived. It returns false if the caller was
@@ -114,13 +107,6 @@
 	return r.conn.enter(intake.Running, time.Time{})
 }
 
-// CloseAfterAnswer makes the server close the connection after the answer, and wait a
-// moment before, so that the caller gets the answer although it is still sending.
-func CloseAfterAnswer(w http.ResponseWriter) {
-	// A MaxBytesReader over its limit is how net/http is asked for that.
-	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
-}
-
 // A requestBody is the body of a request.
 type requestBody struct {
 	io.ReadCloser
