gate: memory of a refused request is given on only when it has been released

Hold now says that the caller must wait where refused requests have not released their memory yet. The gate waits for that, five seconds at most.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -64,6 +64,8 @@
 	received ident.Bytes
 	// held is the memory of the request. It is 0 in the phases Waiting and Idle.
 	held ident.Bytes
+	// ending is true once the caller must release its memory at once.
+	ending bool
 }
 
 // slow reports whether a caller takes longer than ordinary ones: to send a head, to go on
@@ -100,6 +102,8 @@
 	opened uint64
 	// used is the memory of all requests: the sum of held, and what was detached.
 	used ident.Bytes
+	// ending is the part of used that is about to be released.
+	ending ident.Bytes
 }
 
 // New returns a Ledger without connections.
@@ -124,7 +128,7 @@
 		if victim, turnedAway = l.leastMissed(now); !turnedAway {
 			return victim, false, false
 		}
-		l.connections[victim].phase = Closed
+		l.end(l.connections[victim], Closed)
 		l.open--
 	}
 	l.open++
@@ -207,7 +211,7 @@
 	if c.phase != Closed {
 		l.open--
 	}
-	l.used -= c.held
+	l.release(c, c.held)
 	delete(l.connections, k)
 }
 
@@ -243,35 +247,71 @@
 	}
 }
 
+// A Verdict is the result of Hold.
+type Verdict uint8
+
+const (
+	// Held means that the bytes are reserved.
+	Held Verdict = iota
+	// Wait means that they will fit after a Release, Return or Close, and Hold must then be
+	// called again.
+	Wait
+	// Denied means that the connection's own request is the one to refuse.
+	Denied
+)
+
 // Hold reserves n bytes for the request of a connection. Where they do not fit, it
 // refuses requests that are still arriving and returns their connections, which must
-// release their memory at once. It returns false, and reserves nothing, if the
-// connection's own request is the one to refuse.
-func (l *Ledger[K]) Hold(now ident.Instant, k K, n ident.Bytes) (refused []K, ok bool) {
+// release their memory at once.
+func (l *Ledger[K]) Hold(now ident.Instant, k K, n ident.Bytes) (refused []K, verdict Verdict) {
 	c := l.connections[k]
 	if c == nil || c.phase >= Refused {
-		return nil, false
+		return nil, Denied
 	}
-	c.held += n
-	l.used += n
-	for l.limits.Memory > 0 && l.used > l.limits.Memory {
-		victim, found := l.costliest(now)
+	for l.limits.Memory > 0 && l.used-l.ending+n > l.limits.Memory {
+		victim, found := l.costliest(now, c, n)
 		if !found || victim == k {
-			l.refuse(k)
-			return refused, false
+			l.end(c, Refused)
+			return refused, Denied
 		}
-		l.refuse(victim)
+		l.end(l.connections[victim], Refused)
 		refused = append(refused, victim)
 	}
-	return refused, true
+	if l.limits.Memory > 0 && l.used+n > l.limits.Memory {
+		return refused, Wait
+	}
+	c.held += n
+	l.used += n
+	return refused, Held
+}
+
+// end marks the memory of a connection as about to be released.
+func (l *Ledger[K]) end(c *connection, phase Phase) {
+	c.phase = phase
+	if !c.ending {
+		c.ending = true
+		l.ending += c.held
+	}
+}
+
+// release takes n bytes from what a connection holds.
+func (l *Ledger[K]) release(c *connection, n ident.Bytes) {
+	c.held -= n
+	l.used -= n
+	if c.ending {
+		l.ending -= n
+	}
 }
 
 // costliest returns the connection whose request is refused first: one that is refused
-// already, then a slow one, then the one with the largest memory times age.
-func (l *Ledger[K]) costliest(now ident.Instant) (victim K, found bool) {
+// already, then a slow one, then the one with the largest memory times age. The request of
+// asking is one of them, with the n bytes that it asks for.
+func (l *Ledger[K]) costliest(now ident.Instant, asking *connection, n ident.Bytes) (victim K, found bool) {
+	asking.held += n
+	defer func() { asking.held -= n }()
 	var worst *connection
 	for k, c := range l.connections {
-		if c.held == 0 || (c.phase != Head && c.phase != Body && c.phase != Refused) {
+		if c.held == 0 || c.ending || (c.phase != Head && c.phase != Body && c.phase != Refused) {
 			continue
 		}
 		if worst == nil || costlier(now, c, worst) {
@@ -294,13 +334,6 @@
 	return a.before(b)
 }
 
-// refuse turns a caller away and releases the memory of its request.
-func (l *Ledger[K]) refuse(k K) {
-	c := l.connections[k]
-	l.used -= c.held
-	c.held, c.phase = 0, Refused
-}
-
 // Refuse records that a caller was turned away for another reason than memory. Its memory
 // stays in use until Close.
 func (l *Ledger[K]) Refuse(k K) {
@@ -318,6 +351,9 @@
 	}
 	n := c.held
 	c.held = 0
+	if c.ending {
+		l.ending -= n
+	}
 	return n
 }
 
@@ -327,8 +363,6 @@
 // Release returns n bytes that the request of a connection holds.
 func (l *Ledger[K]) Release(k K, n ident.Bytes) {
 	if c := l.connections[k]; c != nil {
-		n = min(n, c.held)
-		c.held -= n
-		l.used -= n
+		l.release(c, min(n, c.held))
 	}
 }
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -35,8 +35,20 @@
 	l.Enter(now, k, intake.Head)
 	l.Enter(now, k, intake.Body)
 	l.Receive(now, k, size)
-	_, ok := l.Hold(now, k, size)
-	return ok
+	return hold(l, now, k, size) == intake.Held
+}
+
+// hold is Hold, with callers that release their memory as soon as they are refused.
+func hold(l *intake.Ledger[int], now ident.Instant, k int, n ident.Bytes) intake.Verdict {
+	for {
+		refused, verdict := l.Hold(now, k, n)
+		for _, victim := range refused {
+			l.Release(victim, memory)
+		}
+		if verdict != intake.Wait {
+			return verdict
+		}
+	}
 }
 
 // TestLargeBodiesThatStopShort has a crowd of large bodies, opened faster than any is
@@ -74,7 +86,7 @@
 		}
 	}
 	l.Receive(now, -1, largeBody/2)
-	_, ok := l.Hold(now, -1, largeBody/2)
+	ok := hold(l, now, -1, largeBody/2) == intake.Held
 	if !ordinary || !ok || l.Used() > memory {
 		t.Errorf("a body was refused beside others that trickle; %d bytes in use", l.Used())
 	}
@@ -180,16 +192,18 @@
 				l.Close(k)
 				delete(phases, k)
 			case event <= 3 && (phase == intake.Head || phase == intake.Body):
-				refused, ok := l.Hold(now, k, ident.Bytes(rapid.IntRange(1, int(memory)).Draw(t, "bytes")))
+				refused, verdict := l.Hold(now, k, ident.Bytes(rapid.IntRange(1, int(memory)).Draw(t, "bytes")))
 				for _, victim := range refused {
 					if p := phases[victim]; p != intake.Head && p != intake.Body {
 						t.Fatalf("connection %d was refused in phase %d", victim, p)
 					}
 					phases[victim] = intake.Refused
 				}
-				if !ok {
+				if verdict == intake.Denied {
 					phases[k] = intake.Refused
 				}
+			case phase == intake.Refused:
+				l.Release(k, memory)
 			case phase == intake.Running && event <= 4:
 				detached += l.Detach(k)
 				l.Enter(now, k, intake.Idle)
--- a/serve/gate/gate.go
+++ b/serve/gate/gate.go
@@ -16,6 +16,7 @@
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/intake"
 	"carawaycross.example/carawaycross/serve/clock"
+	"carawaycross.example/carawaycross/serve/task"
 )
 
 // A Reason says why a caller was turned away.
@@ -58,6 +59,8 @@
 	maxBodyTime = time.Minute
 	// answerTime is how long a caller may read nothing of its answer.
 	answerTime = 30 * time.Second
+	// maxHoldWait bounds the wait for memory that refused requests release.
+	maxHoldWait = 5 * time.Second
 	// logInterval is the least time between two log lines about callers turned away.
 	logInterval = 10 * time.Second
 )
@@ -93,6 +96,8 @@
 
 	mu     sync.Mutex
 	ledger *intake.Ledger[*conn]
+	// released is signalled when memory was released or a caller was refused.
+	released task.Signal
 	// turnedAway counts callers since the start, logged those up to the latest log line.
 	turnedAway, logged map[Reason]uint64
 	loggedAt           ident.Instant
@@ -198,6 +203,7 @@
 	switch {
 	case turnedAway:
 		g.countLocked(victim, Connections)
+		g.released.Broadcast()
 	case !ok:
 		g.countLocked(c, Connections)
 	}
@@ -208,28 +214,65 @@
 	return ok
 }
 
-// hold reserves memory for the request of a connection.
+// hold reserves memory for the request of a connection. It waits until the requests that
+// are refused for it have released theirs.
 func (g *Gate) hold(c *conn, n ident.Bytes) bool {
+	var timeout <-chan time.Time
+	for {
+		verdict, released := g.tryHold(c, n)
+		if verdict != intake.Wait {
+			return verdict == intake.Held
+		}
+		if timeout == nil {
+			timer := time.NewTimer(maxHoldWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-released:
+		case <-timeout:
+			g.turnAway(c, Memory)
+			return false
+		}
+	}
+}
+
+// tryHold reserves memory if there is room now. Otherwise it returns a channel that is
+// closed after a change.
+func (g *Gate) tryHold(c *conn, n ident.Bytes) (intake.Verdict, <-chan struct{}) {
 	g.mu.Lock()
-	refused, ok := g.ledger.Hold(g.config.Clock.Now(), c, n)
+	refused, verdict := g.ledger.Hold(g.config.Clock.Now(), c, n)
 	for _, victim := range refused {
 		g.countLocked(victim, Memory)
 	}
-	if !ok {
+	if len(refused) > 0 {
+		// One of them may be waiting for memory.
+		g.released.Broadcast()
+	}
+	var released <-chan struct{}
+	switch verdict {
+	case intake.Held:
+	case intake.Wait:
+		released = g.released.Next()
+	case intake.Denied:
 		g.countLocked(c, Memory)
 	}
 	g.mu.Unlock()
 	for _, victim := range refused {
 		victim.refuse()
 	}
-	return ok
+	return verdict, released
 }
 
 // update changes the ledger.
 func (g *Gate) update(f func(now ident.Instant, l *intake.Ledger[*conn])) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	used := g.ledger.Used()
 	f(g.config.Clock.Now(), g.ledger)
+	if g.ledger.Used() < used {
+		g.released.Broadcast()
+	}
 }
 
 // turnAway records that a caller is turned away.
