mirror, watch: in an outage of the store, the scouts of each zone call it

Cause: a VM whose mirrors were disconnected called the store itself, for each kind and again with each retry.

Change: the first two VMs of each zone call the store at once. The others wait for a path through them, and call it after 1.5 to 2.5 s without any path, at once if no other VM responds. VMs without a path ask others that differ from call to call. A VM that holds a list of VMs reads it again at its next interval, which is jittered.

--- /dev/null
+++ b/serve/mirror/outage_test.go
@@ -0,0 +1,124 @@
+package mirror_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/mirror"
+	"carawaycross.example/carawaycross/serve/watch"
+)
+
+// An outage plays an outage of the store for one large availability zone. Each VM reads
+// once in each step.
+type outage struct {
+	stores    []*fakeStore
+	followers []watch.Follower[string]
+	now       time.Time
+}
+
+const outageStep = 250 * time.Millisecond
+
+// applyWithin is the time in which a change must be in force at deployments of this size.
+const applyWithin = 5 * time.Second
+
+func newOutage(vms int) *outage {
+	o := &outage{now: time.Unix(0, 0), stores: make([]*fakeStore, vms), followers: make([]watch.Follower[string], vms)}
+	for i := range o.stores {
+		o.stores[i] = newStore()
+	}
+	template := newStore()
+	template.set("a", "1")
+	readers, _, _ := newConfiguredZone(o.stores, template, func(*mirror.Selector) {})
+	for i, r := range readers {
+		r.Now = func() time.Time { return o.now }
+		o.followers[i] = watch.Follower[string]{Source: r, Handler: ignoreAll}
+	}
+	o.run(time.Second)
+	return o
+}
+
+func (o *outage) run(d time.Duration) {
+	for range d / outageStep {
+		for i := range o.followers {
+			_, _ = o.followers[i].Step(context.Background())
+		}
+		o.now = o.now.Add(outageStep)
+	}
+}
+
+func (o *outage) reads() int {
+	n := 0
+	for _, s := range o.stores {
+		n += s.reads
+	}
+	return n
+}
+
+// behind returns the number of VMs that hold an older version.
+func (o *outage) behind(version platform.StoreVersion) int {
+	n := 0
+	for i := range o.followers {
+		if o.followers[i].Version() < version {
+			n++
+		}
+	}
+	return n
+}
+
+// TestOutageIsProbedByScouts answers an outage of the store at a large deployment: the
+// VMs must not call it all at once, and again with each retry.
+func TestOutageIsProbedByScouts(t *testing.T) {
+	const vms, span = 60, 4 * time.Second
+	o := newOutage(vms)
+	for _, s := range o.stores {
+		s.down = true
+	}
+	before := o.reads()
+	o.run(span)
+	// Two scouts call in each step, every other VM at most once in this time.
+	if got, limit := o.reads()-before, 2*int(span/outageStep)+vms; got > limit {
+		t.Errorf("%d calls to the store, allowed: %d", got, limit)
+	}
+	for _, s := range o.stores {
+		s.down = false
+		s.set("a", "2")
+	}
+	o.run(2 * time.Second)
+	if n := o.behind(2); n > 0 {
+		t.Errorf("%d VMs lack the change 2 s after the store is back", n)
+	}
+}
+
+// TestShortOutageCostsOnlyTheScoutsCalls answers a store that cuts its watches and is
+// back within a second.
+func TestShortOutageCostsOnlyTheScoutsCalls(t *testing.T) {
+	const vms, span = 60, time.Second
+	o := newOutage(vms)
+	for _, s := range o.stores {
+		s.down = true
+	}
+	before := o.reads()
+	o.run(span)
+	if got, limit := o.reads()-before, 2*int(span/outageStep); got > limit {
+		t.Errorf("%d calls to the store, allowed: %d", got, limit)
+	}
+}
+
+// TestStoreThatServesOneVMReachesAll answers a store that refuses all VMs but one, which
+// is no scout: the others read through it.
+func TestStoreThatServesOneVMReachesAll(t *testing.T) {
+	const vms = 60
+	for _, served := range []int{2, 17, vms - 1} {
+		o := newOutage(vms)
+		for i, s := range o.stores {
+			s.down = i != served
+			s.set("a", "2")
+		}
+		o.run(applyWithin)
+		if n := o.behind(2); n > 0 {
+			t.Errorf("VM %d is served: %d VMs lack the change after %v", served, n, applyWithin)
+		}
+	}
+}
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -46,6 +46,14 @@
 	// storeRetryInterval is the time between two calls to the store of a VM that should
 	// read from a mirror and reads through others, because the store does not serve it.
 	storeRetryInterval = 3 * time.Second
+	// A VM that is no scout and whose mirrors answer that they are disconnected calls the
+	// store pathPatience after it lost its path, and later the further back it is in the
+	// order, up to maxPathPatience. By then most have a path through a scout. Later calls
+	// are callSpacing apart for each VM of the region.
+	pathPatience    = 1500 * time.Millisecond
+	patiencePerVM   = 15 * time.Millisecond
+	maxPathPatience = 2500 * time.Millisecond
+	callSpacing     = 50 * time.Millisecond
 	// maxPath is the most VMs through which a VM reads the store.
 	maxPath = 8
 )
@@ -83,6 +91,12 @@
 	// storeFailedAt is when the last call to the store failed. It is only accessed by List
 	// and Changes, which are called one at a time.
 	storeFailedAt time.Time
+	// storeCalledAt is when the store was last called. It is only accessed by List and
+	// Changes.
+	storeCalledAt time.Time
+	// pathLostAt is when the VM lost its path to the store; zero while it has one. It is
+	// only accessed by List and Changes.
+	pathLostAt time.Time
 	// Now replaces time.Now unless nil. It must be set before the first read.
 	Now func() time.Time
 	// InitialListWait is how long to wait for the first listing of a mirror. It is 0 for
@@ -139,21 +153,28 @@
 // List returns all objects.
 func (r *Reader[T]) List(ctx context.Context) (platform.Listing[T], error) {
 	question := Question{Kind: r.Kind(), Wait: r.InitialListWait}
+	responded, isBehind := r.selector.HasDisconnectedMirror(r.time()), false
 	for _, m := range r.selector.Mirrors(r.time()) {
-		if l, path, ok := r.askListing(ctx, m, question); ok {
+		l, path, result := r.askListing(ctx, m, question)
+		if result == accepted {
 			r.cache.SetListing(l, path...)
+			r.pathLostAt = time.Time{}
 			return l, nil
 		}
+		responded = responded || result == rejected
+		isBehind = isBehind || result == behind
 	}
-	l, err := r.source.List(ctx)
+	// The store is known to be ahead of a mirror that is behind.
+	l, err := r.listStore(ctx, responded && !isBehind)
 	if err == nil {
 		r.cache.SetListing(l)
+		r.pathLostAt = time.Time{}
 		return l, nil
 	}
 	r.cache.MarkDisconnected()
 	question = Question{Kind: r.Kind(), Disconnected: true}
 	for _, m := range r.selector.Others(r.time()) {
-		if l, path, ok := r.askListing(ctx, m, question); ok {
+		if l, path, result := r.askListing(ctx, m, question); result == accepted {
 			r.cache.SetListingWhileDisconnected(l, path...)
 			return l, nil
 		}
@@ -162,36 +183,67 @@
 	return l, err
 }
 
-// askListing asks a mirror for all objects. It returns false if the mirror is behind this
-// VM: its objects include some that were removed since.
-func (r *Reader[T]) askListing(ctx context.Context, m Member, q Question) (platform.Listing[T], []ident.VMID, bool) {
-	a, ok := r.ask(ctx, m, q)
-	if !ok {
-		return platform.Listing[T]{}, nil, false
+// listStore lists the store, unless it is the turn of other VMs to call it.
+func (r *Reader[T]) listStore(ctx context.Context, responded bool) (platform.Listing[T], error) {
+	if !r.mayCallStore(responded) {
+		return platform.Listing[T]{}, noPath()
+	}
+	r.storeCalledAt = r.time()
+	return r.source.List(ctx)
+}
+
+// mayCallStore reports whether this VM may call the store now that no mirror is
+// connected. If all VMs called it at once, an outage of the store would cost a call of
+// each VM whenever the VMs retry. The scouts of each zone call it at once, the others only
+// if no other VM responds, if they hold no objects yet, or if they had no path for long;
+// responded is true if a mirror responded.
+func (r *Reader[T]) mayCallStore(responded bool) bool {
+	if r.selector.IsScout() || !responded || r.cache.Version() == 0 {
+		return true
+	}
+	now := r.time()
+	if r.pathLostAt.IsZero() {
+		r.pathLostAt = now
+	}
+	before, vms := r.selector.Position()
+	patience := min(pathPatience+time.Duration(before)*patiencePerVM, maxPathPatience)
+	interval := max(storeRetryInterval, time.Duration(vms)*callSpacing)
+	return now.Sub(r.pathLostAt) >= patience && now.Sub(r.storeCalledAt) >= interval
+}
+
+// askListing asks a mirror for all objects. It rejects the answer of a mirror that is
+// behind this VM: its objects include some that were removed since.
+func (r *Reader[T]) askListing(ctx context.Context, m Member, q Question) (platform.Listing[T], []ident.VMID, askResult) {
+	a, result := r.ask(ctx, m, q)
+	if result != accepted {
+		return platform.Listing[T]{}, nil, result
 	}
 	if a.Version < r.cache.Version() {
 		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
-		return platform.Listing[T]{}, nil, false
+		return platform.Listing[T]{}, nil, behind
 	}
 	present := slices.DeleteFunc(a.Changes, func(c platform.Change[T]) bool { return c.Deleted })
-	return platform.Listing[T]{Items: present, Version: a.Version}, a.Path, true
+	return platform.Listing[T]{Items: present, Version: a.Version}, a.Path, accepted
 }
 
 // Changes waits for changes after a version. It returns none if there are none within
 // wait.
 func (r *Reader[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) (changes []platform.Change[T], version platform.StoreVersion, err error) {
+	responded := r.selector.HasDisconnectedMirror(r.time())
 	for _, m := range r.selector.Mirrors(r.time()) {
-		a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait)})
-		if !ok && !r.cache.fromStore() {
+		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait)})
+		responded = responded || result != silent
+		if result != accepted && !r.cache.fromStore() {
 			// Until another mirror or the store answers, this VM is disconnected too.
 			// The remaining calls do not wait, so that the VMs that read through this
 			// one soon receive that state.
 			r.cache.MarkDisconnected()
 			wait = 0
 		}
-		if !ok {
+		if result != accepted {
 			continue
 		}
+		r.pathLostAt = time.Time{}
 		if a.Outcome == Compacted {
 			return nil, after, compacted()
 		}
@@ -199,7 +251,7 @@
 		r.lastDetour = Detour{}
 		return a.Changes, a.Version, nil
 	}
-	if r.shouldReadStore() {
+	if r.shouldReadStore(responded) {
 		if changes, version, err = r.readStore(ctx, after, wait); err == nil || storeAnswered(err) {
 			return changes, version, err
 		}
@@ -214,7 +266,7 @@
 	}
 	r.cache.MarkUnreachable()
 	if err == nil {
-		err = &platform.Error{Op: "mirror", Kind: platform.Unreachable, Err: errNoPath}
+		err = noPath()
 	}
 	if !r.selector.ReadsStore() && isSilent(err) {
 		clock.Sleep(ctx, reconnectDelay)
@@ -222,9 +274,16 @@
 	return nil, after, err
 }
 
-// shouldReadStore reports whether to call the store now that no mirror answered.
-func (r *Reader[T]) shouldReadStore() bool {
-	return r.selector.ReadsStore() || !r.cache.isRelayed() || r.time().Sub(r.storeFailedAt) >= storeRetryInterval
+// shouldReadStore reports whether to call the store now that no mirror is connected;
+// responded is true if one responded.
+func (r *Reader[T]) shouldReadStore(responded bool) bool {
+	if r.selector.ReadsStore() {
+		return true
+	}
+	if r.cache.isRelayed() && r.time().Sub(r.storeFailedAt) < storeRetryInterval {
+		return false
+	}
+	return r.mayCallStore(responded)
 }
 
 // readStore waits for changes in the store.
@@ -232,6 +291,7 @@
 	if !r.selector.ReadsStore() {
 		wait = min(wait, maxStoreWait)
 	}
+	r.storeCalledAt = r.time()
 	changes, version, err := r.source.Changes(ctx, after, wait)
 	if err != nil {
 		if !storeAnswered(err) {
@@ -240,6 +300,7 @@
 		return nil, after, err
 	}
 	r.cache.Apply(changes, version)
+	r.pathLostAt = time.Time{}
 	r.lastDetour = Detour{}
 	return changes, version, nil
 }
@@ -247,8 +308,8 @@
 // askOthers asks VMs that are not mirrors of this one.
 func (r *Reader[T]) askOthers(ctx context.Context, after platform.StoreVersion, wait time.Duration) (Answer[T], bool) {
 	for _, m := range r.selector.Others(r.time()) {
-		a, ok := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait), Disconnected: true})
-		if !ok {
+		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait), Disconnected: true})
+		if result != accepted {
 			continue
 		}
 		if a.Outcome == OK {
@@ -259,6 +320,9 @@
 	return Answer[T]{}, false
 }
 
+// noPath returns the error of a read for which neither another VM nor the store was of use.
+func noPath() error { return &platform.Error{Op: "mirror", Kind: platform.Unreachable, Err: errNoPath} }
+
 // compacted returns the error after which the caller lists all objects again.
 func compacted() error {
 	return &platform.Error{Op: "mirror", Kind: platform.Compacted, Err: errHistoryDropped}
@@ -285,9 +349,22 @@
 	return errors.As(err, &w) && w.Kind == watch.Silent
 }
 
+// An askResult is how a question to another VM ended.
+type askResult uint8
+
+const (
+	// silent means that the VM did not respond.
+	silent askResult = iota
+	// rejected means that the VM is disconnected, or that its path must not be used.
+	rejected
+	// behind means that the VM holds an older version than this one.
+	behind
+	accepted
+)
+
 // ask sends a question to a mirror. If the mirror fails or is disconnected, ask excludes
-// it for some time and returns false.
-func (r *Reader[T]) ask(ctx context.Context, m Member, q Question) (Answer[T], bool) {
+// it for some time.
+func (r *Reader[T]) ask(ctx context.Context, m Member, q Question) (Answer[T], askResult) {
 	timeout := q.Wait + answerTimeout
 	if q.Wait == 0 {
 		timeout = immediateAnswerTimeout
@@ -297,12 +374,12 @@
 	received, err := r.transport.Ask(ctx, m, q)
 	if err != nil {
 		r.selector.Exclude(r.time().Add(failedExclusion), m.VM)
-		return Answer[T]{}, false
+		return Answer[T]{}, silent
 	}
 	path := append([]ident.VMID{m.VM}, received.Path...)
 	if received.Outcome == Disconnected || len(path) > maxPath || !r.selector.accepts(r.time(), received.Path) {
 		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
-		return Answer[T]{}, false
+		return Answer[T]{}, rejected
 	}
 	a := Answer[T]{Outcome: received.Outcome, Version: received.Version, Path: path, Changes: make([]platform.Change[T], 0, len(received.Changes))}
 	for _, c := range received.Changes {
@@ -316,7 +393,7 @@
 		}
 		a.Changes = append(a.Changes, decoded)
 	}
-	return a, true
+	return a, accepted
 }
 
 // reportDetour reports a detour unless it resembles the last one.
--- a/serve/mirror/selector.go
+++ b/serve/mirror/selector.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -42,6 +43,8 @@
 	// zoneOrder holds the members of the VM's zone and regionOrder those of its region,
 	// both sorted by compareMembers.
 	zoneOrder, regionOrder []Member
+	// othersTurn counts the calls of Others that left members out.
+	othersTurn int
 	// ready is closed by the first call of SetMembers.
 	ready chan struct{}
 	// failedUntil and disconnectedUntil hold the time until which a VM is not selected as a
@@ -123,6 +126,18 @@
 	return s.candidates(now, s.regionOrder[:s.countBefore(s.regionOrder)])
 }
 
+// HasDisconnectedMirror reports whether a VM that may be a mirror of this one recently
+// responded that it is disconnected.
+func (s *Selector) HasDisconnectedMirror(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	mirrors := s.zoneOrder[:s.countBefore(s.zoneOrder)]
+	if len(mirrors) == 0 {
+		mirrors = s.regionOrder[:s.countBefore(s.regionOrder)]
+	}
+	return slices.ContainsFunc(mirrors, func(m Member) bool { return now.Before(s.disconnectedUntil[m.VM]) })
+}
+
 // Others returns members of the region to ask if neither the mirrors nor the store can be
 // reached: those that follow this VM in the order, then those that precede it, so that
 // the members at the head of the order are not asked by all. They alternate between the
@@ -135,7 +150,13 @@
 	others := slices.Concat(s.regionOrder[before:], s.regionOrder[:before])
 	others = slices.DeleteFunc(others, func(m Member) bool { return m.VM == s.self.VM || now.Before(s.failedUntil[m.VM]) })
 	others = alternateZones(others)
-	return others[:min(len(others), maxCandidates)]
+	if len(others) <= maxCandidates {
+		return others
+	}
+	// Each call starts elsewhere, so that a VM with a path is found wherever it is.
+	s.othersTurn++
+	start := int(weight(s.self.VM+ident.VMID(strconv.Itoa(s.othersTurn))) % uint64(len(others)))
+	return slices.Concat(others[start:], others[:start])[:maxCandidates]
 }
 
 // alternateZones returns the members with the first one of each availability zone before
@@ -175,6 +196,26 @@
 	return s.alwaysReadStore || (len(s.regionOrder) > 0 && s.regionOrder[0].VM == s.self.VM)
 }
 
+// scoutsPerZone is the number of VMs of an availability zone that call the store as soon
+// as they have no connected mirror. The others of the zone then read through them.
+const scoutsPerZone = 2
+
+// IsScout reports whether this VM is one of its zone's first ones, which call the store
+// as soon as no mirror is connected.
+func (s *Selector) IsScout() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.alwaysReadStore || s.countBefore(s.zoneOrder) < scoutsPerZone || s.countBefore(s.regionOrder) == 0
+}
+
+// Position returns how many VMs of the region precede this VM, and the number of VMs of
+// the region.
+func (s *Selector) Position() (before, vms int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.countBefore(s.regionOrder), len(s.regionOrder)
+}
+
 // countBefore returns how many members of an order precede this VM, which may not be
 // listed yet. Because VMs select only preceding members as mirrors, no two VMs read
 // through each other, even if their lists differ. The lock must be held.
--- a/serve/watch/watch.go
+++ b/serve/watch/watch.go
@@ -136,23 +136,31 @@
 	return err
 }
 
-// PollVMs reads the list of VMs periodically until the context is done.
+// PollVMs reads the list of VMs periodically until the context is done. A failed read is
+// repeated soon only while there is no list: the old one serves until the next read, and
+// the VMs of a large deployment must not all call a store that fails.
 func (w *Watcher) PollVMs(ctx context.Context) {
 	backoff := platform.Backoff{MaxDelay: maxRetryDelay}
-	interval := minListInterval
+	interval, listed := minListInterval, false
 	for ctx.Err() == nil {
 		vms, err := w.Store.VMs(ctx)
-		if err != nil {
+		switch {
+		case err == nil:
+			listed = true
+			w.Listener.VMsListed(vms)
+		case !listed:
 			clock.Sleep(ctx, backoff.Next(rand.Float64()))
 			continue
 		}
-		backoff.Reset()
-		w.Listener.VMsListed(vms)
-		clock.Sleep(ctx, interval)
+		clock.Sleep(ctx, interval-time.Duration(rand.Float64()*listJitter*float64(interval)))
 		interval = min(2*interval, max(w.MaxListInterval, minListInterval))
 	}
 }
 
+// listJitter is the part of the interval between two reads of the list of VMs that is
+// random, so that VMs that started together do not read it together.
+const listJitter = 0.25
+
 // Repair writes a newer configuration to a store that holds an older one.
 func (w *Watcher) Repair(ctx context.Context, newest config.Configuration) error {
 	o, err := w.Store.Get(ctx, w.objectName())
--- /dev/null
+++ b/serve/watch/watch_test.go
@@ -0,0 +1,85 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carawaycross.example/carawaycross/core/config"
+	"carawaycross.example/carawaycross/platform"
+)
+
+// pollStore fails from failsFrom to failsUntil, counted from its first call.
+type pollStore struct {
+	platform.Store
+	first                 time.Time
+	failsFrom, failsUntil time.Duration
+	calls                 []time.Duration
+}
+
+func (s *pollStore) VMs(context.Context) ([]platform.ListedVM, error) {
+	if s.first.IsZero() {
+		s.first = time.Now()
+	}
+	at := time.Since(s.first)
+	s.calls = append(s.calls, at)
+	if at >= s.failsFrom && at < s.failsUntil {
+		return nil, errors.New("down")
+	}
+	return nil, nil
+}
+
+func (s *pollStore) callsBetween(from, until time.Duration) int {
+	n := 0
+	for _, at := range s.calls {
+		if at >= from && at < until {
+			n++
+		}
+	}
+	return n
+}
+
+type countingListener struct{ lists int }
+
+func (*countingListener) ConfigurationRead(config.Configuration) {}
+func (*countingListener) PlatformFailed(string)                  {}
+func (l *countingListener) VMsListed([]platform.ListedVM)        { l.lists++ }
+func (*countingListener) ConfigurationInForce(context.Context) config.Configuration {
+	return config.Configuration{}
+}
+
+func pollFor(t *testing.T, store *pollStore, span time.Duration) (lists int) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &countingListener{}
+		w := &Watcher{Store: store, Listener: l, MaxListInterval: 10 * time.Second}
+		ctx, cancel := context.WithTimeout(t.Context(), span)
+		defer cancel()
+		w.PollVMs(ctx)
+		lists = l.lists
+	})
+	return lists
+}
+
+// TestOutageCostsFewPollsOfTheList answers an outage of the store at a large deployment,
+// whose VMs hold a list of VMs already.
+func TestOutageCostsFewPollsOfTheList(t *testing.T) {
+	store := &pollStore{failsFrom: 30 * time.Second, failsUntil: 40 * time.Second}
+	pollFor(t, store, time.Minute)
+	if n := store.callsBetween(store.failsFrom, store.failsUntil); n > 2 {
+		t.Errorf("%d calls in an outage of 10 s, allowed: 2", n)
+	}
+	if n := store.callsBetween(store.failsUntil, store.failsUntil+10*time.Second); n == 0 {
+		t.Error("no call within 10 s after the outage")
+	}
+}
+
+// TestFirstListIsRetriedSoon answers a store that is down when a VM starts: without the
+// list the VM serves nobody.
+func TestFirstListIsRetriedSoon(t *testing.T) {
+	store := &pollStore{failsUntil: 3 * time.Second}
+	if lists := pollFor(t, store, 4*time.Second+maxRetryDelay); lists == 0 {
+		t.Error("no list within a second after the outage")
+	}
+}
