usage: caps over all VMs by shares that are lent to a grantor

Cause: a tenant's cap must hold over all VMs, in touch or not, while its requests arrive at a few of them. Equal shares refuse a tenant whose connections end on three VMs; a grantor that all must agree on exceeds the cap when a cut leaves two.

Change: core/usage. Each VM owns 1/n of rate and burst and lends it to the tenant's grantor for a lease; the grantor collects the shares in a pool and grants tokens. Half of the allowance is further burst, the rest is a margin for VMs that count the VMs differently.

--- /dev/null
+++ b/core/usage/exchange.go
@@ -0,0 +1,255 @@
+package usage
+
+import (
+	"slices"
+
+	"carawaycross.example/carawaycross/core/ident"
+)
+
+// ask asks the tenant's grantor for tokens.
+func (l *Ledger) ask(now ident.Instant, a *account) {
+	g := l.grantor(now, a)
+	if g == l.config.VM {
+		l.answered(now, a, l.grant(now, a, g, l.askOf(now, a)))
+		return
+	}
+	if a.asking {
+		return
+	}
+	a.asking = true
+	p := l.peers[g]
+	p.asks = append(p.asks, a.tenant)
+	l.queued = true
+}
+
+func (l *Ledger) askOf(now ident.Instant, a *account) Ask {
+	l.accrue(now, a)
+	need := max(len(a.waiting)-int(a.tokens), 0)
+	return Ask{Tenant: a.tenant, Need: need, Spare: max(int(a.target(now)-a.tokens), 0), Held: a.tokens}
+}
+
+// grant answers an ask from this VM's pool and begins to collect the shares if the pool is
+// new.
+func (l *Ledger) grant(now ident.Instant, a *account, from ident.VMID, ask Ask) Grant {
+	if a.pool == nil {
+		a.pool = newPool(now)
+		l.collect(now, a)
+	}
+	a.pool.activeUntil = now.Add(activeTime)
+	return a.pool.grant(now, from, ask)
+}
+
+// collect borrows this VM's own share and queues questions for the others'.
+func (l *Ledger) collect(now ident.Instant, a *account) {
+	if loan, ok := l.lend(now, a, l.config.VM); ok {
+		a.pool.add(now, now, l.config.VM, loan)
+	}
+	for _, p := range l.peers {
+		if !slices.Contains(p.collects, a.tenant) {
+			p.collects = append(p.collects, a.tenant)
+		}
+	}
+	l.queued = true
+	l.schedule(l.nextCollect)
+}
+
+// dissolve ends the pool of a tenant and queues the returns to the lenders.
+func (l *Ledger) dissolve(now ident.Instant, a *account) {
+	for vm, tokens := range a.pool.dissolve(now) {
+		if p := l.peers[vm]; p != nil {
+			p.returns = append(p.returns, Return{Tenant: a.tenant, Tokens: tokens})
+			continue
+		}
+		l.endLoan(now, a, vm, tokens)
+	}
+	a.pool = nil
+	l.queued = true
+}
+
+// Leave gives all borrowed shares back, before the VM stops.
+func (l *Ledger) Leave(now ident.Instant) {
+	l.leaving = true
+	for _, a := range l.accounts {
+		if a.pool != nil {
+			l.dissolve(now, a)
+		}
+	}
+}
+
+// answered applies the answer of the grantor.
+func (l *Ledger) answered(now ident.Instant, a *account, g Grant) {
+	l.accrue(now, a)
+	a.tokens += ident.Tokens(max(g.Tokens, 0))
+	a.answeredAt = now
+	l.serve(now, a)
+	if len(a.waiting) == 0 {
+		return
+	}
+	wait := min(max(g.Wait, 0), maxWait)
+	if g.Collecting {
+		wait = collectWait
+	}
+	if !g.Collecting {
+		for i := range a.waiting {
+			a.waiting[i].until = min(a.waiting[i].until, now.Add(shortWait))
+		}
+		l.schedule(a.waiting[0].until)
+	}
+	if now.Add(wait) < a.waiting[0].until {
+		l.askLater(a, now.Add(max(wait, collectWait/2)))
+		return
+	}
+	a.dryUntil = now.Add(wait)
+	l.refuseAll(now, a)
+}
+
+func (l *Ledger) askLater(a *account, at ident.Instant) {
+	a.askAt = at
+	l.schedule(at)
+}
+
+// Receive answers a question of another VM.
+func (l *Ledger) Receive(now ident.Instant, from ident.VMID, m Message) Message {
+	var answer Message
+	for _, ask := range m.Asks {
+		if a := l.account(ask.Tenant); a != nil && !l.leaving {
+			answer.Grants = append(answer.Grants, l.grant(now, a, from, ask))
+		}
+	}
+	for _, r := range m.Returns {
+		if a := l.accounts[r.Tenant]; a != nil {
+			l.endLoan(now, a, from, r.Tokens)
+		}
+	}
+	for _, id := range m.Collects {
+		if a := l.account(id); a != nil {
+			if loan, ok := l.lend(now, a, from); ok {
+				answer.Loans = append(answer.Loans, loan)
+			}
+		}
+	}
+	return answer
+}
+
+// Complete applies the answer to an Exchange, or its failure if ok is false.
+func (l *Ledger) Complete(now ident.Instant, e Exchange, answer Message, ok bool) {
+	p := l.peers[e.To]
+	if p != nil {
+		p.outstanding = nil
+		p.suspectedUntil = 0
+		l.queued = true
+		if !ok {
+			p.suspectedUntil = now.Add(suspicionTime)
+		}
+	}
+	for _, ask := range e.Message.Asks {
+		if a := l.accounts[ask.Tenant]; a != nil {
+			a.asking = false
+		}
+	}
+	ok = ok && e.Sent >= l.discardedAt
+	for _, g := range answer.Grants {
+		if a := l.account(g.Tenant); a != nil && ok {
+			l.answered(now, a, g)
+		}
+	}
+	for _, loan := range answer.Loans {
+		if a := l.account(loan.Tenant); a != nil && ok && a.pool != nil && e.Sent.Add(loan.Lease) > now {
+			a.pool.add(now, e.Sent, e.To, loan)
+		}
+	}
+	for _, ask := range e.Message.Asks {
+		// The grantor did not answer, or does not know the tenant yet.
+		if a := l.accounts[ask.Tenant]; a != nil && len(a.waiting) > 0 && !a.asking && a.askAt == ident.Never {
+			again := now
+			if ok {
+				again = now.Add(collectWait)
+			}
+			l.askLater(a, again)
+		}
+	}
+}
+
+// Tick does what is due at now.
+func (l *Ledger) Tick(now ident.Instant) {
+	if now < l.wakeAt {
+		return
+	}
+	l.wakeAt = ident.Never
+	collects := now >= l.nextCollect
+	if collects {
+		l.nextCollect = now.Add(ident.Span(collectShare, l.lease))
+	}
+	for _, a := range l.accounts {
+		l.tickWaiting(now, a)
+		if a.pool == nil {
+			continue
+		}
+		if now >= a.pool.activeUntil {
+			l.dissolve(now, a)
+			continue
+		}
+		if collects {
+			l.collect(now, a)
+		}
+		l.schedule(l.nextCollect)
+	}
+}
+
+// tickWaiting refuses the requests that waited too long, and asks again for the others if
+// that is due.
+func (l *Ledger) tickWaiting(now ident.Instant, a *account) {
+	for len(a.waiting) > 0 && now >= a.waiting[0].until {
+		if a.answeredAt == 0 || now.Sub(a.answeredAt) > holdTime {
+			a.dryUntil = max(a.dryUntil, now.Add(unreachableWait))
+		}
+		l.decisions = append(l.decisions, Decision{Query: a.waiting[0].query, Refusal: l.refusal(now, a)})
+		a.waiting = a.waiting[1:]
+	}
+	if len(a.waiting) == 0 {
+		a.askAt = ident.Never
+		return
+	}
+	l.schedule(a.waiting[0].until)
+	if now < a.askAt {
+		l.schedule(a.askAt)
+		return
+	}
+	a.askAt = ident.Never
+	l.ask(now, a)
+}
+
+// Wake returns the instant at which Tick must be called next.
+func (l *Ledger) Wake() ident.Instant { return l.wakeAt }
+
+// Exchanges appends to buf the questions that are due. At most one question to each VM is
+// on its way; what comes meanwhile goes with the next one.
+func (l *Ledger) Exchanges(now ident.Instant, buf []Exchange) []Exchange {
+	if !l.queued {
+		return buf
+	}
+	l.queued = false
+	for vm, p := range l.peers {
+		if p.outstanding != nil || len(p.asks)+len(p.collects)+len(p.returns) == 0 {
+			continue
+		}
+		m := Message{Returns: p.returns}
+		for _, id := range p.asks {
+			if a := l.accounts[id]; a != nil {
+				m.Asks = append(m.Asks, l.askOf(now, a))
+			}
+		}
+		for _, id := range p.collects {
+			if a := l.accounts[id]; a != nil && a.pool != nil {
+				m.Collects = append(m.Collects, id)
+			}
+		}
+		p.asks, p.collects, p.returns = nil, nil, nil
+		if m.empty() {
+			continue
+		}
+		p.outstanding = &m
+		buf = append(buf, Exchange{To: vm, Address: p.address, Sent: now, Message: m})
+	}
+	return buf
+}
--- /dev/null
+++ b/core/usage/ledger_test.go
@@ -0,0 +1,175 @@
+package usage
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/tenant"
+)
+
+// A tenant floods all VMs while VMs are cut off, frozen and restarted and messages are lost.
+func TestNoWindowExceedsTheCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "vms")
+		limit := tenant.Tenant{
+			ID: "courts", Rate: ident.Rate(rapid.IntRange(2, 60).Draw(t, "rate")),
+			Burst: ident.Tokens(rapid.IntRange(0, 120).Draw(t, "burst")),
+		}
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, limit)
+		w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.3}).Draw(t, "loss")
+		w.slowest = rapid.SampledFrom([]time.Duration{3, 20, 120}).Draw(t, "slowest ms") * time.Millisecond
+		for range rapid.IntRange(3, 14).Draw(t, "phases") {
+			for range rapid.IntRange(0, 3).Draw(t, "faults") {
+				vm := rapid.IntRange(0, n-1).Draw(t, "vm")
+				switch rapid.SampledFrom([]string{"cut", "heal", "restart", "freeze", "herd"}).Draw(t, "fault") {
+				case "cut":
+					w.vms[vm].side = rapid.IntRange(0, 2).Draw(t, "side")
+				case "heal":
+					for _, other := range w.vms {
+						other.side = 0
+					}
+				case "restart":
+					w.start(vm, false)
+				case "freeze":
+					w.vms[vm].thawsAt = w.now.Add(time.Duration(rapid.IntRange(10, 6000).Draw(t, "ms")) * time.Millisecond)
+				case "herd":
+					for i := range n / 2 {
+						w.start(i, false)
+					}
+				}
+			}
+			flood := rapid.SampledFrom([]float64{0, 0, 1, 3, 200}).Draw(t, "requests a second")
+			senders := rapid.IntRange(1, n).Draw(t, "senders")
+			w.advance(time.Duration(rapid.IntRange(20, 4000).Draw(t, "ms"))*time.Millisecond, senders, flood)
+		}
+		if got, allowed := w.mostInWindow(), w.allowed(); got > allowed {
+			t.Fatalf("%d requests in one window, allowed are %d", got, allowed)
+		}
+	})
+}
+
+// The demand of a tenant lies on k of 32 VMs.
+func TestTenantGetsItsCapOnAnyNumberOfVMs(t *testing.T) {
+	for _, rate := range []ident.Rate{4, 40, 200} {
+		for k := 1; k <= 32; k++ {
+			w := newWorld(uint64(k), 32, tenant.Tenant{ID: "courts", Rate: rate, Burst: 10})
+			demand := 1.2 * float64(rate) / float64(k)
+			w.advance(w.bounds.Window, k, demand)
+			w.times, w.offered = nil, 0
+			w.advance(20*time.Second, k, demand)
+			owed := min(20*float64(rate), float64(w.offered))
+			if share := float64(len(w.times)) / owed; share < 0.95 {
+				t.Errorf("rate %v on %d VMs: %.3f of the cap was served", rate, k, share)
+			}
+		}
+	}
+}
+
+// A tenant within its cap is not refused, however few VMs its connections end on.
+func TestNothingBelowTheCapIsRefusedInCalm(t *testing.T) {
+	for _, rate := range []ident.Rate{0.25, 4, 40} {
+		for _, k := range []int{1, 3, 10, 32} {
+			w := newWorld(uint64(k), 32, tenant.Tenant{ID: "courts", Rate: rate, Burst: max(2, ident.Tokens(rate))})
+			w.advance(40*time.Second, k, float64(rate)/1.6/float64(k))
+			refused := 0
+			for _, vm := range w.vms {
+				refused += vm.refused
+			}
+			if refused > 0 {
+				t.Errorf("rate %v on %d VMs: %d of %d requests were refused", rate, k, refused, refused+len(w.times))
+			}
+		}
+	}
+}
+
+const start = ident.Instant(time.Hour)
+
+func pair(limit tenant.Tenant, started ident.Instant) (owner, grantor *Ledger) {
+	peers := []Peer{{VM: "vm-0"}, {VM: "vm-1"}}
+	owner, grantor = New(Config{VM: "vm-0", Started: started}), New(Config{VM: "vm-1", Started: started})
+	owner.Install(start, []tenant.Tenant{limit}, peers[1:], 2, Bounds{})
+	grantor.Install(start, []tenant.Tenant{limit}, peers[:1], 2, Bounds{})
+	return owner, grantor
+}
+
+func TestRestartedVMHasNoBurstAndLendsNothingUntilItsEarlierLoansEnd(t *testing.T) {
+	owner, _ := pair(tenant.Tenant{ID: "courts", Rate: 10, Burst: 40}, start)
+	a := owner.accounts["courts"]
+	for after, expected := range map[time.Duration]ident.Tokens{0: 0, leaseTime: 0, leaseTime + time.Second: 5} {
+		a.tokens, a.accruedAt = 0, start
+		if owner.accrue(start.Add(after), a); a.tokens != expected {
+			t.Errorf("%v after the start the VM has %v tokens, expected %v", after, a.tokens, expected)
+		}
+	}
+	if loan, ok := owner.lend(start.Add(leaseTime/2), a, "vm-1"); ok {
+		t.Errorf("lent %+v, expected no loan", loan)
+	}
+}
+
+func TestLoanMovesTokens(t *testing.T) {
+	owner, grantor := pair(tenant.Tenant{ID: "courts", Rate: 10, Burst: 40}, start)
+	now := start.Add(time.Minute)
+	a, p := owner.accounts["courts"], newPool(now)
+	grantor.accounts["courts"].pool = p
+	loan, ok := owner.lend(now, a, "vm-1")
+	if !ok || loan.Tokens != 20 || a.tokens != 0 {
+		t.Fatalf("lent %+v and kept %v, expected a loan of 20 tokens", loan, a.tokens)
+	}
+	if p.add(now, now, "vm-0", loan); p.tokens != 20 {
+		t.Fatalf("the pool has %v tokens, expected 20", p.tokens)
+	}
+	if p.accrue(now.Add(time.Second)); p.tokens != 20 {
+		t.Errorf("the pool has %v tokens, expected its capacity of 20", p.tokens)
+	}
+	p.tokens = 8
+	returned := p.dissolve(now.Add(time.Second))["vm-0"]
+	if p.tokens != 0 || returned != 8 {
+		t.Errorf("the pool kept %v tokens and returned %v, expected 0 and 8", p.tokens, returned)
+	}
+	owner.endLoan(now.Add(time.Second), a, "vm-2", 20)
+	if a.tokens != 0 {
+		t.Errorf("a VM without the loan returned %v tokens", a.tokens)
+	}
+	if owner.endLoan(now.Add(time.Second), a, "vm-1", returned); a.tokens != 8 {
+		t.Errorf("the owner has %v tokens, expected 8", a.tokens)
+	}
+}
+
+func TestTokensOfALoanThatEndedAreLimitedToTheShare(t *testing.T) {
+	owner, _ := pair(tenant.Tenant{ID: "courts", Rate: 10, Burst: 40}, start)
+	now := start.Add(time.Minute)
+	a := owner.accounts["courts"]
+	owner.lend(now, a, "vm-1")
+	a.tokens = 35
+	if owner.accrue(now.Add(owner.lease), a); a.tokens != 20 {
+		t.Errorf("the VM has %v tokens, expected its share of 20", a.tokens)
+	}
+}
+
+func TestDiscardedTokensAndAnswersAreNotUsed(t *testing.T) {
+	owner, _ := pair(tenant.Tenant{ID: "courts", Rate: 10, Burst: 40}, start)
+	now := start.Add(time.Minute)
+	owner.accrue(now, owner.accounts["courts"])
+	owner.Discard(now.Add(time.Second))
+	owner.Complete(now.Add(time.Second), Exchange{To: "vm-1", Sent: now}, Message{Grants: []Grant{{Tenant: "courts", Tokens: 9}}}, true)
+	if got := owner.accounts["courts"].tokens; got != 0 {
+		t.Errorf("the VM has %v tokens, expected none", got)
+	}
+}
+
+func TestRefusedCallersReturnOneAfterTheOther(t *testing.T) {
+	owner, _ := pair(tenant.Tenant{ID: "courts", Rate: 10, Burst: 1}, start)
+	a := owner.accounts["courts"]
+	a.dryUntil = start.Add(200 * time.Millisecond)
+	var last time.Duration
+	for i := range 5 {
+		verdict, r := owner.Admit(start, "courts", ident.QueryID(i))
+		if verdict != Refused || r.RetryAfter < 200*time.Millisecond || r.RetryAfter < last+100*time.Millisecond {
+			t.Errorf("request %d: verdict %v, Retry-After %v after %v", i, verdict, r.RetryAfter, last)
+		}
+		last = r.RetryAfter
+	}
+}
--- /dev/null
+++ b/core/usage/main_test.go
@@ -0,0 +1,10 @@
+package usage
+
+import (
+	"os"
+	"testing"
+
+	"carawaycross.example/carawaycross/internal/proptest"
+)
+
+func TestMain(m *testing.M) { os.Exit(proptest.Main(m)) }
--- /dev/null
+++ b/core/usage/share.go
@@ -0,0 +1,163 @@
+package usage
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carawaycross.example/carawaycross/core/ident"
+)
+
+const (
+	// spareTime is the time of demand for which a VM holds tokens.
+	spareTime = 250 * time.Millisecond
+	// demandSpan is the span over which a VM's demand is averaged.
+	demandSpan = time.Second
+	// keepTime is how long after its last use a VM keeps tokens of a tenant.
+	keepTime = 10 * time.Second
+)
+
+// A waitingRequest has no token yet.
+type waitingRequest struct {
+	query ident.QueryID
+	until ident.Instant
+}
+
+// An account is a VM's state of one tenant with a cap.
+type account struct {
+	tenant ident.TenantID
+	// rate and capacity are those of all shares together.
+	rate     ident.Rate
+	capacity ident.Tokens
+	// tokens are those that requests on this VM may use.
+	tokens    ident.Tokens
+	accruedAt ident.Instant
+	// The share is lent to lentTo until lentUntil, and accrues no tokens for so long.
+	lentTo    ident.VMID
+	lentUntil ident.Instant
+	// collectedAt is when the first VM in the order of grantors last collected the share.
+	collectedAt ident.Instant
+	usedAt      ident.Instant
+	demand      demand
+	// waiting is ordered by arrival.
+	waiting []waitingRequest
+	// While asking is true, an ask is queued or on its way. askAt is when to ask again;
+	// ident.Never if that is not planned.
+	asking bool
+	askAt  ident.Instant
+	// Until dryUntil, the grantor is known to have no token for this VM.
+	dryUntil ident.Instant
+	// retryAt is when the caller that was last refused may return.
+	retryAt ident.Instant
+	// answeredAt is when the grantor last answered; 0 if it never did.
+	answeredAt ident.Instant
+	// order is the order of grantors; nil after a change of the VMs.
+	order []ident.VMID
+	// removedAt is when the cap was removed; 0 if it is in force.
+	removedAt ident.Instant
+	// pool is nil unless this VM is the grantor.
+	pool *pool
+}
+
+// A demand is the moving average of the rate of a tenant's requests on this VM.
+type demand struct {
+	rate ident.Rate
+	at   ident.Instant
+}
+
+func (d *demand) count(now ident.Instant) {
+	d.rate = d.current(now) + ident.Rate(1/demandSpan.Seconds())
+	d.at = now
+}
+
+func (d *demand) current(now ident.Instant) ident.Rate {
+	return d.rate * ident.Rate(math.Exp(-now.Sub(d.at).Seconds()/demandSpan.Seconds()))
+}
+
+// target returns the tokens that the VM wants to hold.
+func (a *account) target(now ident.Instant) ident.Tokens {
+	if a.usedAt == 0 || now.Sub(a.usedAt) > keepTime {
+		return 0
+	}
+	return 1 + ident.Tokens(float64(a.demand.current(now))*spareTime.Seconds())
+}
+
+// accrue adds the tokens of the VM's own share up to now. At the end of a loan, tokens
+// beyond the share are dropped, since the grantor counts them no longer.
+func (l *Ledger) accrue(now ident.Instant, a *account) {
+	capacity := a.capacity / ident.Tokens(l.count)
+	if a.accruedAt < a.lentUntil && now >= a.lentUntil {
+		a.tokens = min(a.tokens, capacity)
+	}
+	from := max(a.accruedAt, a.lentUntil, l.withheldUntil)
+	if now > from {
+		added := ident.Tokens(float64(a.rate)/float64(l.count)) * ident.Tokens(now.Sub(from).Seconds())
+		a.tokens = max(a.tokens, min(a.tokens+added, capacity))
+	}
+	a.accruedAt = max(a.accruedAt, now)
+}
+
+// lend passes the VM's share of a cap to a grantor. Only the first VM in the order of
+// grantors may borrow it, or another one if the first has not asked for the time of a lease.
+func (l *Ledger) lend(now ident.Instant, a *account, to ident.VMID) (Loan, bool) {
+	l.accrue(now, a)
+	first := l.grantor(now, a)
+	if to == first {
+		a.collectedAt = now
+	}
+	lentToOther := now < a.lentUntil && a.lentTo != to
+	if now < l.withheldUntil || lentToOther || (to != first && now.Sub(a.collectedAt) < l.lease) {
+		return Loan{}, false
+	}
+	kept := min(a.tokens, a.target(now))
+	loan := Loan{
+		Tenant: a.tenant, Rate: a.rate / ident.Rate(l.count), Capacity: a.capacity / ident.Tokens(l.count),
+		Held: kept, Tokens: a.tokens - kept, Lease: l.lease,
+	}
+	a.tokens, a.lentTo, a.lentUntil = kept, to, now.Add(l.lease)
+	return loan, true
+}
+
+// endLoan ends a loan before its lease does.
+func (l *Ledger) endLoan(now ident.Instant, a *account, from ident.VMID, tokens ident.Tokens) {
+	if a.lentTo != from || now >= a.lentUntil {
+		return
+	}
+	a.lentUntil = now
+	l.accrue(now, a)
+	a.tokens = min(a.tokens+max(tokens, 0), a.capacity/ident.Tokens(l.count))
+}
+
+// grantor returns the first VM in the tenant's order that is not suspected to be
+// unreachable.
+func (l *Ledger) grantor(now ident.Instant, a *account) ident.VMID {
+	if a.order == nil {
+		a.order = l.grantorOrder(a.tenant)
+	}
+	for _, vm := range a.order {
+		if vm == l.config.VM || now >= l.peers[vm].suspectedUntil {
+			return vm
+		}
+	}
+	return l.config.VM
+}
+
+// grantorOrder returns this VM and its peers in the rendezvous order of a tenant.
+func (l *Ledger) grantorOrder(tenant ident.TenantID) []ident.VMID {
+	order := make([]ident.VMID, 0, len(l.peers)+1)
+	order = append(order, l.config.VM)
+	for vm := range l.peers {
+		order = append(order, vm)
+	}
+	scores := make(map[ident.VMID]uint64, len(order))
+	for _, vm := range order {
+		scores[vm] = xxhash.Sum64String(string(tenant) + "/" + string(vm))
+	}
+	slices.SortFunc(order, func(x, y ident.VMID) int {
+		return cmp.Or(cmp.Compare(scores[y], scores[x]), cmp.Compare(x, y))
+	})
+	return order
+}
--- /dev/null
+++ b/core/usage/world_test.go
@@ -0,0 +1,208 @@
+package usage
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/tenant"
+)
+
+const (
+	// step is the resolution of virtual time.
+	step = 2 * time.Millisecond
+	// exchangeTimeout is the time after which a question without an answer has failed.
+	exchangeTimeout = 150 * time.Millisecond
+)
+
+// A testVM is one VM of a world. A frozen VM does nothing until thawsAt.
+type testVM struct {
+	id      ident.VMID
+	ledger  *Ledger
+	thawsAt ident.Instant
+	// side numbers the part of the network that the VM reaches.
+	side     int
+	admitted int
+	refused  int
+	waits    map[ident.QueryID]bool
+}
+
+// A transfer is a question or an answer on its way.
+type transfer struct {
+	at       ident.Instant
+	from     int
+	exchange Exchange
+	answer   *Message
+	failed   bool
+}
+
+// A world runs the ledgers of several VMs under virtual time with one tenant.
+type world struct {
+	random    *rand.Rand
+	now       ident.Instant
+	cap       tenant.Tenant
+	bounds    Bounds
+	vms       []*testVM
+	transfers []transfer
+	loss      float64
+	slowest   time.Duration
+	queries   ident.QueryID
+	times     []ident.Instant
+	offered   int
+	messages  int
+}
+
+func newWorld(seed uint64, n int, limit tenant.Tenant) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 1)), now: ident.Instant(time.Hour), cap: limit, slowest: 4 * time.Millisecond,
+		bounds: Bounds{Window: 5 * time.Second, Overshoot: 0.1, Allowance: 20},
+	}
+	for i := range n {
+		w.vms = append(w.vms, &testVM{id: ident.VMID(fmt.Sprintf("vm-%d", i)), waits: map[ident.QueryID]bool{}})
+	}
+	for i := range w.vms {
+		w.start(i, true)
+	}
+	return w
+}
+
+// start starts a new process of a VM.
+func (w *world) start(i int, first bool) {
+	vm := w.vms[i]
+	vm.ledger = New(Config{VM: vm.id, Started: w.now, FirstStart: first})
+	clear(vm.waits)
+	w.install(i, len(w.vms))
+}
+
+// install lets a VM know the first n VMs.
+func (w *world) install(i, n int) {
+	var peers []Peer
+	for j, other := range w.vms[:n] {
+		if j != i {
+			peers = append(peers, Peer{VM: other.id})
+		}
+	}
+	w.vms[i].ledger.Install(w.now, []tenant.Tenant{w.cap}, peers, n, w.bounds)
+}
+
+func (w *world) arrive(i int) {
+	vm := w.vms[i]
+	if vm.thawsAt > w.now {
+		return
+	}
+	w.queries++
+	w.offered++
+	switch verdict, _ := vm.ledger.Admit(w.now, w.cap.ID, w.queries); verdict {
+	case Admitted:
+		w.admit(vm)
+	case Waiting:
+		vm.waits[w.queries] = true
+	case Refused:
+		vm.refused++
+	}
+}
+
+func (w *world) admit(vm *testVM) {
+	vm.admitted++
+	w.times = append(w.times, w.now)
+}
+
+// advance runs the world for a time in which callers send to the first k VMs perSecond
+// requests each. A perSecond of 0 sends none.
+func (w *world) advance(d time.Duration, k int, perSecond float64) {
+	for end := w.now.Add(d); w.now < end; w.now = w.now.Add(step) {
+		w.deliver()
+		for i, vm := range w.vms {
+			if vm.thawsAt > w.now {
+				continue
+			}
+			if i < k && w.random.Float64() < perSecond*step.Seconds() {
+				w.arrive(i)
+			}
+			vm.ledger.Tick(w.now)
+			for _, e := range vm.ledger.Exchanges(w.now, nil) {
+				w.messages++
+				w.transfers = append(w.transfers, transfer{at: w.delay(), from: i, exchange: e})
+			}
+			for _, d := range vm.ledger.Decisions(nil) {
+				if !vm.waits[d.Query] {
+					panic("a decision on a request that does not wait")
+				}
+				delete(vm.waits, d.Query)
+				if d.Admitted {
+					w.admit(vm)
+				} else {
+					vm.refused++
+				}
+			}
+		}
+	}
+}
+
+func (w *world) delay() ident.Instant {
+	return w.now.Add(time.Duration(w.random.Float64() * float64(w.slowest)))
+}
+
+// deliver passes the transfers that are due to their receivers. Those that are lost, or
+// pass between sides of a cut, fail at the timeout.
+func (w *world) deliver() {
+	due := w.transfers
+	w.transfers = nil
+	for _, t := range due {
+		to := w.index(t.exchange.To)
+		sender := w.vms[t.from]
+		receiver := t.from
+		if t.answer == nil && !t.failed {
+			receiver = to
+		}
+		if t.at > w.now || w.vms[receiver].thawsAt > w.now {
+			w.transfers = append(w.transfers, t)
+			continue
+		}
+		late := w.now.Sub(t.exchange.Sent) >= exchangeTimeout
+		switch {
+		case t.failed || (t.answer != nil && late):
+			sender.ledger.Complete(w.now, t.exchange, Message{}, false)
+		case t.answer != nil:
+			sender.ledger.Complete(w.now, t.exchange, *t.answer, true)
+		case w.random.Float64() < w.loss/2 || sender.side != w.vms[to].side:
+			w.transfers = append(w.transfers, transfer{at: t.exchange.Sent.Add(exchangeTimeout), from: t.from, exchange: t.exchange, failed: true})
+		default:
+			answer := w.vms[to].ledger.Receive(w.now, sender.id, t.exchange.Message)
+			next := transfer{at: w.delay(), from: t.from, exchange: t.exchange, answer: &answer}
+			if w.random.Float64() < w.loss/2 {
+				next = transfer{at: t.exchange.Sent.Add(exchangeTimeout), from: t.from, exchange: t.exchange, failed: true}
+			}
+			w.transfers = append(w.transfers, next)
+		}
+	}
+}
+
+func (w *world) index(id ident.VMID) int {
+	for i, vm := range w.vms {
+		if vm.id == id {
+			return i
+		}
+	}
+	panic("unknown VM")
+}
+
+// mostInWindow returns the most requests admitted in one window.
+func (w *world) mostInWindow() int {
+	most, first := 0, 0
+	for i, at := range w.times {
+		for at.Sub(w.times[first]) > w.bounds.Window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// allowed returns the bound on the requests in one window. The VMs of a world count the
+// same VMs, so that the margin for other counts is not used.
+func (w *world) allowed() int {
+	capacity := max(w.cap.Burst, 1) + w.bounds.Allowance*allowanceUsed
+	return int(float64(w.cap.Rate)*w.bounds.Window.Seconds() + float64(capacity) + 1e-6)
+}
