node, traffic, vm: requests take a token of their tenant's usage cap

Cause: tenants with a cap were served without one.

Change: core/node takes a token before it admits a request, holds the request while the grantor is asked, refuses it as over-usage-cap otherwise, and returns the token of a request that reached no replica.

--- a/core/node/action.go
+++ b/core/node/action.go
@@ -10,6 +10,7 @@
 	"carawaycross.example/carawaycross/core/passage"
 	"carawaycross.example/carawaycross/core/poison"
 	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/usage"
 )
 
 // A ActionKind selects the operation of an Action and thereby the fields that are set.
@@ -32,6 +33,8 @@
 	Forward
 	// Notify passes evidence to the control core: News.
 	Notify
+	// ShareUsage asks another VM about usage caps: VM, Usage.
+	ShareUsage
 )
 
 // An Action is an operation that the front end performs for the Core.
@@ -60,6 +63,7 @@
 	VM     ident.VMID
 	Answer *Answer
 	News   News
+	Usage  usage.Exchange
 }
 
 // A NewsKind is a kind of evidence.
--- a/core/node/core.go
+++ b/core/node/core.go
@@ -11,6 +11,7 @@
 	"carawaycross.example/carawaycross/core/poison"
 	"carawaycross.example/carawaycross/core/replica"
 	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/usage"
 	"carawaycross.example/carawaycross/core/view"
 )
 
@@ -45,6 +46,10 @@
 	// Random breaks ties and adds jitter to retry times; nil selects a generator with a fixed seed.
 	Random   replica.Random
 	Policies Policies
+	// UsageBounds say how exactly the usage caps of tenants hold over all VMs.
+	UsageBounds usage.Bounds
+	// FirstStart is true if the whole deployment starts for the first time.
+	FirstStart bool
 }
 
 type timerKind uint8
@@ -114,6 +119,11 @@
 	freeQueries []*query
 	// inFlight counts the admitted queries that are not answered.
 	inFlight int
+	// usage shares the usage caps of tenants with the other VMs. decisions and exchanges
+	// are buffers for its results.
+	usage     *usage.Ledger
+	decisions []usage.Decision
+	exchanges []usage.Exchange
 }
 
 // New returns a Core without a view. It refuses requests until Install is called.
@@ -129,6 +139,7 @@
 		runningBookings: map[ident.RequestKey]container.Handle{},
 		recentLosses:    container.NewRing[upstreamLoss](maxRecentLosses),
 		profiles:        map[ident.RouteID]*profile{},
+		usage:           usage.New(usage.Config{VM: config.VM, Started: config.Started, FirstStart: config.FirstStart}),
 		splitPhase:      float64(config.Random.IntN(randomSteps)) / randomSteps,
 	}
 }
@@ -148,7 +159,7 @@
 }
 
 // Wake returns the instant at which Tick must be called next, or ident.Never.
-func (c *Core) Wake() ident.Instant { return c.timers.Next() }
+func (c *Core) Wake() ident.Instant { return min(c.timers.Next(), c.usage.Wake()) }
 
 // InFlight returns the number of admitted queries that are not answered.
 func (c *Core) InFlight() int { return c.inFlight }
@@ -182,6 +193,7 @@
 		}
 	}
 	c.confirmCrashes(now)
+	c.installUsage(now, v)
 }
 
 // Arrive starts a query for a caller's request and returns its ID, which the actions
@@ -191,23 +203,29 @@
 	q := c.newQuery(now, a)
 	h := c.queries.Put(q)
 	q.handle = h
+	if c.capAdmits(now, q) {
+		c.begin(now, q)
+	}
+	return ident.QueryID(h)
+}
+
+// begin admits and starts a query, or refuses it.
+func (c *Core) begin(now ident.Instant, q *query) {
 	if reason, detail := c.prepare(now, q); reason != admission.Admitted {
 		c.refuseUnadmitted(now, q, reason, detail)
-		return ident.QueryID(h)
+		return
 	}
 	c.inFlight++
 	q.admitted = true
-	c.timers.Add(q.deadline, timer{kind: deadlineTimer, query: h})
-	if a.Key != "" {
+	c.timers.Add(q.deadline, timer{kind: deadlineTimer, query: q.handle})
+	switch {
+	case q.arrival.Key != "":
 		c.startBooking(now, q)
-		return ident.QueryID(h)
-	}
-	if q.target != nil {
+	case q.target != nil:
 		c.startRouted(now, q)
-		return ident.QueryID(h)
+	default:
+		c.startSearch(now, q)
 	}
-	c.startSearch(now, q)
-	return ident.QueryID(h)
 }
 
 // refuseUnadmitted refuses a query that was not admitted. An earlier send of a booking may
@@ -311,6 +329,7 @@
 // Tick runs the timers that are due at now.
 func (c *Core) Tick(now ident.Instant) {
 	c.detectStall(now)
+	c.tickUsage(now)
 	for {
 		t, ok := c.timers.Pop(now)
 		if !ok {
@@ -372,6 +391,8 @@
 	switch {
 	case q.answered:
 		c.release(now, q)
+	case q.capState == awaitsToken:
+		c.refuseAwaiting(now, q)
 	case q.arrival.Key != "":
 		c.expireBooking(now, q)
 	default:
@@ -405,6 +426,7 @@
 	if q.admitted {
 		c.inFlight--
 	}
+	c.returnToken(now, q, a)
 	c.actions = append(c.actions, Action{Kind: Finish, Query: ident.QueryID(q.handle), Answer: a})
 	if q.arrival.Key != "" && q.hasInFlight() {
 		c.timers.Add(now.Add(bookingGracePeriod), timer{kind: deadlineTimer, query: q.handle})
--- a/core/node/query.go
+++ b/core/node/query.go
@@ -131,6 +131,7 @@
 	lostUpstream bool
 	restarted    bool
 	admitted     bool
+	capState     capState
 	answered     bool
 	// dispatched is true from the verdict Dispatch of the ledger until the outcome is recorded.
 	dispatched bool
--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -68,6 +68,9 @@
 
 // Leave gives all borrowed shares back, before the VM stops.
 func (l *Ledger) Leave(now ident.Instant) {
+	if l.leaving {
+		return
+	}
 	l.leaving = true
 	for _, a := range l.accounts {
 		if a.pool != nil {
@@ -159,13 +162,13 @@
 		}
 	}
 	for _, ask := range e.Message.Asks {
-		// The grantor did not answer, or does not know the tenant yet.
+		granted := slices.ContainsFunc(answer.Grants, func(g Grant) bool { return g.Tenant == ask.Tenant })
+		if p != nil && !granted {
+			// The grantor did not answer, does not know the tenant yet, or is stopping.
+			p.suspectedUntil = now.Add(suspicionTime)
+		}
 		if a := l.accounts[ask.Tenant]; a != nil && len(a.waiting) > 0 && !a.asking && a.askAt == ident.Never {
-			again := now
-			if ok {
-				again = now.Add(collectWait)
-			}
-			l.askLater(a, again)
+			l.askLater(a, now)
 		}
 	}
 }
--- a/core/usage/share.go
+++ b/core/usage/share.go
@@ -132,13 +132,19 @@
 }
 
 // grantor returns the first VM in the tenant's order that is not suspected to be
-// unreachable.
+// unreachable, or this VM if all others are.
 func (l *Ledger) grantor(now ident.Instant, a *account) ident.VMID {
 	if a.order == nil {
 		a.order = l.grantorOrder(a.tenant)
 	}
 	for _, vm := range a.order {
-		if vm == l.config.VM || now >= l.peers[vm].suspectedUntil {
+		if vm == l.config.VM {
+			if !l.leaving {
+				return vm
+			}
+			continue
+		}
+		if now >= l.peers[vm].suspectedUntil {
 			return vm
 		}
 	}
--- a/serve/clock/clock.go
+++ b/serve/clock/clock.go
@@ -22,6 +22,13 @@
 	return ident.FromTime(c.start).Add(time.Since(c.start))
 }
 
+// Skew returns by how much the wall clock has advanced more than the monotonic clock. It
+// changes when the wall clock is set or the machine was suspended.
+func (c Clock) Skew() time.Duration {
+	now := time.Now()
+	return now.Round(0).Sub(c.start.Round(0)) - now.Sub(c.start)
+}
+
 // Until returns the time from now to t, limited to the range from 0 to one hour.
 func (c Clock) Until(t ident.Instant) time.Duration {
 	if t == ident.Never {
--- a/serve/settings/typed.go
+++ b/serve/settings/typed.go
@@ -7,6 +7,7 @@
 	"carawaycross.example/carawaycross/core/retry"
 	"carawaycross.example/carawaycross/core/roster"
 	"carawaycross.example/carawaycross/core/snapshot"
+	"carawaycross.example/carawaycross/core/usage"
 	"carawaycross.example/carawaycross/core/view"
 	"carawaycross.example/carawaycross/schema"
 	"carawaycross.example/carawaycross/serve/codec"
@@ -96,6 +97,14 @@
 	return ident.Bytes(s.Message.GetDiscovery().GetRequestMemoryBytes())
 }
 
+// UsageBounds returns how exactly the usage caps of tenants hold over all VMs.
+func (s *Settings) UsageBounds() usage.Bounds {
+	u := s.Message.GetDiscovery().GetUsage()
+	return usage.Bounds{
+		Window: u.GetWindow().AsDuration(), Overshoot: u.GetOvershoot(), Allowance: ident.Tokens(u.GetAllowance()),
+	}
+}
+
 // QuotaLimits returns the limits of the extra attempts to discovered services.
 func (s *Settings) QuotaLimits() retry.QuotaLimits {
 	d := s.Message.Discovery
--- a/serve/traffic/loop.go
+++ b/serve/traffic/loop.go
@@ -13,6 +13,7 @@
 	"carawaycross.example/carawaycross/core/booking"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/usage"
 	"carawaycross.example/carawaycross/core/view"
 	bodies "carawaycross.example/carawaycross/internal/body"
 	"carawaycross.example/carawaycross/serve/clock"
@@ -41,6 +42,12 @@
 	Forward(ctx context.Context, vm ident.VMID, a node.Arrival) *node.Answer
 }
 
+// A UsageSharer asks another VM about the usage caps of tenants. It returns false if there
+// is no answer.
+type UsageSharer interface {
+	ShareUsage(ctx context.Context, e *usage.Exchange) (usage.Message, bool)
+}
+
 // A Config holds the dependencies of a Loop.
 type Config struct {
 	Core      *node.Core
@@ -49,6 +56,7 @@
 	Upstream  Upstream
 	Claimer   Claimer
 	Forwarder Forwarder
+	Usage     UsageSharer
 	// News receives evidence for control. While the channel is full, news is dropped.
 	News chan<- node.News
 	// Observe is called for each answer in the goroutine of the loop; it may be nil.
@@ -70,6 +78,8 @@
 	cutOffChanged
 	leaveRequested
 	stopRequested
+	usageAsked
+	usageShared
 )
 
 type event struct {
@@ -85,6 +95,7 @@
 	report  chan node.Report
 	cutOff  bool
 	stopsAt ident.Instant
+	usage   *usageEvent
 }
 
 // A waiter is a caller that waits for its answer.
@@ -118,7 +129,9 @@
 	installed *view.View
 	actions   []node.Action
 	// workers counts the goroutines that have not yet sent their result to the inbox.
-	workers     int
+	workers int
+	// skew is that of the clock at the previous iteration.
+	skew        time.Duration
 	droppedNews atomic.Uint64
 	inFlight    atomic.Int64
 	// mostlyUnserved and mostlyServed are the results of the methods of Core after the
@@ -270,6 +283,7 @@
 			return
 		}
 		l.installView()
+		l.checkClock()
 		l.config.Core.Tick(l.config.Clock.Now())
 		l.performActions(workerCtx)
 		l.inFlight.Store(int64(l.config.Core.InFlight()))
@@ -284,9 +298,9 @@
 func (l *Loop) awaitWorkers() {
 	for l.workers > 0 {
 		switch e := <-l.inbox; e.kind {
-		case replied, claimed, forwarded:
+		case replied, claimed, forwarded, usageShared:
 			l.workers--
-		case arrived, cancelled, issueRequested, inspectRequested, cutOffChanged, leaveRequested, stopRequested:
+		case arrived, cancelled, issueRequested, inspectRequested, cutOffChanged, leaveRequested, stopRequested, usageAsked:
 		}
 	}
 }
@@ -347,6 +361,11 @@
 		l.config.Core.Leave(e.stopsAt)
 	case stopRequested:
 		core.Stop(now)
+	case usageAsked:
+		e.usage.answers <- core.ReceiveUsage(now, e.usage.from, e.usage.message)
+	case usageShared:
+		l.workers--
+		core.UsageShared(now, e.usage.exchange, e.usage.message, e.usage.ok)
 	}
 }
 
@@ -388,6 +407,8 @@
 			l.forward(ctx, *a)
 		case node.Notify:
 			l.sendNews(a.News)
+		case node.ShareUsage:
+			l.shareUsage(ctx, a.Usage)
 		}
 	}
 	clear(l.actions)
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -212,8 +212,8 @@
 
 func (v *VM) newTraffic(vm ident.VMID, incarnation ident.Incarnation, p node.Policies) {
 	v.traffic = traffic.New(traffic.Config{
-		Core:  node.New(node.Config{VM: vm, Incarnation: incarnation, Started: v.clock.Now(), Random: newRandom(), Policies: p}),
-		Clock: v.clock, Views: v.views, Upstream: v.upstream, Claimer: v.claimer, Forwarder: forwarder{v},
+		Core:  node.New(node.Config{VM: vm, Incarnation: incarnation, Started: v.clock.Now(), Random: newRandom(), Policies: p, UsageBounds: v.settings.UsageBounds(), FirstStart: v.discovery != nil && v.discovery.FirstStart}),
+		Clock: v.clock, Views: v.views, Upstream: v.upstream, Claimer: v.claimer, Forwarder: forwarder{v}, Usage: usageSharer{v},
 		News: v.control.news, Observe: v.observe, Memory: v.replyMemory(),
 	})
 }
