usage: use the overshoot and the allowance that the bounds leave

Change: the shares sum to a rate and a burst that reach the bound less a margin of 5% for VMs that count the VMs differently, at most half of what the bounds allow beyond the cap.

--- a/core/node/usage.go
+++ b/core/node/usage.go
@@ -99,7 +99,8 @@
 	}
 	c.finish(now, q, &Answer{Refusal: &Refusal{
 		Outcome: booking.NotRun, Reason: OverCap, RetryAfter: r.RetryAfter,
-		Detail: fmt.Sprintf("tenant %s, cap %g/s, %.1f tokens here, answer of %s %s", q.arrival.Tenant, float64(r.Rate), float64(r.Tokens), r.Grantor, age),
+		Detail: fmt.Sprintf("tenant %s, cap %g/s and a burst of %g, %.1f tokens here, answer of %s %s",
+			q.arrival.Tenant, float64(q.arrival.Account.Rate), float64(q.arrival.Account.Burst), float64(r.Tokens), r.Grantor, age),
 	}})
 }
 
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -23,9 +23,6 @@
 	// countTime is how long VMs that left the list are still counted, since the others
 	// notice it at different times.
 	countTime = 30 * time.Second
-	// allowanceUsed is the part of the allowance that the shares hold as further burst.
-	// The rest is a margin for VMs that count the VMs differently.
-	allowanceUsed = 0.5
 	// maxWaiting is the most requests of a tenant that wait for tokens on one VM.
 	maxWaiting = 64
 	// unreachableWait is the Retry-After of a request that no grantor answered.
@@ -43,6 +40,30 @@
 	Allowance ident.Tokens
 }
 
+const (
+	// Of what the bounds allow beyond the cap, marginShare of the whole is kept back, but
+	// at most half, for VMs that count the VMs differently.
+	marginShare = 0.05
+	// burstShare is the part of the rest that is added to the burst; the other part is
+	// added to the rate.
+	burstShare = 1.0 / 6
+)
+
+// enforced returns the rate and the burst that the shares sum to. In no window do they
+// admit more than the bounds allow, and they use what the bounds allow beyond the cap, so
+// that no request is refused that need not be.
+func (b Bounds) enforced(t *tenant.Tenant) (ident.Rate, ident.Tokens) {
+	burst := max(t.Burst, 1)
+	window := ident.Tokens(b.Window.Seconds())
+	if window <= 0 {
+		return t.Rate, burst
+	}
+	full := ident.Tokens(t.Rate)*window + burst
+	beyond := full*ident.Tokens(b.Overshoot) + b.Allowance
+	used := beyond - min(marginShare*(full+beyond), beyond/2)
+	return t.Rate + ident.Rate(used*(1-burstShare)/window), burst + used*burstShare
+}
+
 // Config holds what a Ledger is created with.
 type Config struct {
 	VM      ident.VMID
@@ -139,7 +160,7 @@
 			continue
 		}
 		known[t.ID] = true
-		capacity := max(t.Burst, 1) + bounds.Allowance*allowanceUsed
+		rate, capacity := bounds.enforced(t)
 		a := l.accounts[t.ID]
 		if a == nil {
 			a = &account{tenant: t.ID, accruedAt: now, askAt: ident.Never}
@@ -152,7 +173,7 @@
 		if capacity < a.capacity {
 			a.tokens *= capacity / a.capacity
 		}
-		a.rate, a.capacity, a.removedAt = t.Rate, capacity, 0
+		a.rate, a.capacity, a.removedAt = rate, capacity, 0
 	}
 	for id, a := range l.accounts {
 		switch {
@@ -280,7 +301,7 @@
 // refusal describes the state of a cap, and assigns the caller a time to return that no
 // other caller on this VM got.
 func (l *Ledger) refusal(now ident.Instant, a *account) Refusal {
-	r := Refusal{Rate: a.rate, Tokens: a.tokens, Age: -1, Grantor: l.grantor(now, a)}
+	r := Refusal{Tokens: a.tokens, Age: -1, Grantor: l.grantor(now, a)}
 	if a.answeredAt > 0 {
 		r.Age = now.Sub(a.answeredAt)
 	}
--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -85,6 +85,25 @@
 	}
 }
 
+func TestEnforcedCapStaysBelowTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Bounds{
+			Window:    time.Duration(rapid.IntRange(1, 60).Draw(t, "window s")) * time.Second,
+			Overshoot: rapid.Float64Range(0, 0.5).Draw(t, "overshoot"), Allowance: ident.Tokens(rapid.IntRange(0, 50).Draw(t, "allowance")),
+		}
+		limit := tenant.Tenant{
+			Rate: ident.Rate(rapid.Float64Range(0.1, 500).Draw(t, "rate")), Burst: ident.Tokens(rapid.IntRange(1, 500).Draw(t, "burst")),
+		}
+		rate, burst := b.enforced(&limit)
+		window := b.Window.Seconds()
+		got := float64(rate)*window + float64(burst)
+		allowed := (float64(limit.Rate)*window+float64(limit.Burst))*(1+b.Overshoot) + float64(b.Allowance)
+		if got > allowed+1e-6 || rate < limit.Rate || burst < limit.Burst {
+			t.Fatalf("enforced are %v/s and a burst of %v: %v in a window, allowed are %v", rate, burst, got, allowed)
+		}
+	})
+}
+
 const start = ident.Instant(time.Hour)
 
 func pair(limit tenant.Tenant, started ident.Instant) (owner, grantor *Ledger) {
--- a/core/usage/message.go
+++ b/core/usage/message.go
@@ -79,7 +79,6 @@
 type Refusal struct {
 	// RetryAfter is when a token is due for the request.
 	RetryAfter time.Duration
-	Rate       ident.Rate
 	Tokens     ident.Tokens
 	// Age is the time since the grantor last answered; negative if it never did.
 	Age     time.Duration
