--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -199,6 +199,14 @@
 	return c.relayed
 }
 
+// outdated reports whether the last read failed, and no VM with a path to the store
+// answered instead.
+func (c *Cache[T]) outdated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.connected && !c.relayed
+}
+
 // relay answers a question of a disconnected VM: with all objects if after is 0, and
 // otherwise with the changes after that version as soon as there are any, or none if there
 // are none within wait.
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -136,6 +136,10 @@
 	return r.cache.state(now) + r.selector.state(now)
 }
 
+// Outdated reports whether the VM has no path to the store, so that the objects may have
+// changed since they were read. It may be called from several goroutines.
+func (r *Reader[T]) Outdated() bool { return r.cache.outdated() }
+
 // List returns all objects.
 func (r *Reader[T]) List(ctx context.Context) (platform.Listing[T], error) {
 	question := Question{Kind: r.Kind(), Wait: r.InitialListWait}
--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -78,8 +78,9 @@
 	// FirstStart is true if the whole deployment starts for the first time.
 	FirstStart bool
 	// Front returns the HTTP handler for callers. leaving returns true while callers
-	// should open their next connection to another VM.
-	Front func(loop *traffic.Loop, views *view.Publisher, leaving func() bool) http.Handler
+	// should open their next connection to another VM, and outdated while the VM has no path
+	// to the store.
+	Front func(loop *traffic.Loop, views *view.Publisher, leaving, outdated func() bool) http.Handler
 	// Ready returns the HTTP handler for the readiness check of the load balancer.
 	Ready func(ready func() bool) http.Handler
 }
@@ -113,7 +114,7 @@
 		_ = front.Close()
 		return &Error{"listen", CannotStart, err}
 	}
-	v.serve(ctx, front, d.Front(v.traffic, v.views, func() bool { return v.apiServer.Leaving() || v.cutOff.Load() }))
+	v.serve(ctx, front, d.Front(v.traffic, v.views, func() bool { return v.apiServer.Leaving() || v.cutOff.Load() }, v.mirrors.readers.configurations.Outdated))
 	v.serve(ctx, ready, d.Ready(func() bool { return v.apiServer.Ready() && !v.cutOff.Load() }))
 	v.group.Go(ctx, v.monitorReach)
 	v.group.Go(ctx, v.mirrors.prober.Run)
