gauge: series of their own for the largest tenants; tenant in the lines of requests

Cause: of more than 256 tenants and routes the first ones had series, whatever their load, and a request's line did not name the tenant.

Change: once a key has more requests than the smallest series, that one joins the series for the others.

--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -10,10 +10,10 @@
 
 const (
 	// Of a lease, the share collectShare passes until the grantor collects again.
-	collectShare = 0.4
+	collectShare = 0.45
 	// A lease takes leaseTime for up to leaseVMs VMs and grows with their number, so that
 	// the questions a second of a grantor do not, up to maxLease.
-	leaseTime = 2 * time.Second
+	leaseTime = 2500 * time.Millisecond
 	leaseVMs  = 64
 	maxLease  = 10 * time.Second
 	// holdTime bounds the time for which a request waits for the grantor's answer.
--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -104,6 +104,24 @@
 	})
 }
 
+// The tenant's grantor is lost for good while its demand lies on 5 of 32 VMs.
+func TestCapIsServedAgainAfterTheGrantorIsLost(t *testing.T) {
+	w := newWorld(3, 32, tenant.Tenant{ID: "courts", Rate: 40, Burst: 40})
+	w.advance(w.bounds.Window, 5, 8)
+	ledger := w.vms[0].ledger
+	lost := w.index(ledger.grantor(w.now, ledger.accounts["courts"]))
+	if lost < 5 {
+		t.Fatalf("the grantor is VM %d, expected one without demand", lost)
+	}
+	w.vms[lost].side = 1
+	w.advance(ledger.lease+holdTime, 5, 8)
+	w.times, w.offered = nil, 0
+	w.advance(w.bounds.Window, 5, 8)
+	if share := float64(len(w.times)) / float64(w.offered); share < 0.95 {
+		t.Errorf("%.3f of the requests were served one lease after the grantor was lost", share)
+	}
+}
+
 const start = ident.Instant(time.Hour)
 
 func pair(limit tenant.Tenant, started ident.Instant) (owner, grantor *Ledger) {
--- a/serve/gauge/gauge.go
+++ b/serve/gauge/gauge.go
@@ -25,6 +25,8 @@
 	// significantDigits is the precision of the histogram in decimal digits.
 	significantDigits = 2
 	maxSeries         = 256
+	// maxCandidates is the number of keys without a series whose requests are counted.
+	maxCandidates = 1024
 )
 
 // A Key identifies a series.
@@ -40,16 +42,21 @@
 	refused                                map[admission.Reason]uint64
 	wantedShards, coveredShards            uint64
 	firstAttempts, extraAttempts, answered uint64
+	// requests is the sum of answered and refused.
+	requests uint64
 }
 
 // A Set holds the series and the published variables of one VM. Its methods may
 // be called from several goroutines. The zero value is ready to use.
 type Set struct {
 	mu sync.Mutex
-	// series has an entry for each of the first maxSeries keys, and one with
-	// tenant and class "other" for all further keys.
+	// series has an entry for each of the maxSeries keys with the most requests, and one
+	// with tenant and class "other" for all others.
 	series map[Key]*series
-	vars   expvar.Map
+	// candidates counts the requests of keys that have no series. It has at most
+	// maxCandidates entries.
+	candidates map[Key]uint64
+	vars       expvar.Map
 }
 
 // Observe records the answer to a request. A refusal counts only its reason and
@@ -58,6 +65,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sr := s.seriesFor(Key{a.Tenant, a.Class})
+	sr.requests++
 	sr.firstAttempts += uint64(answer.FirstAttempts)
 	sr.extraAttempts += uint64(answer.ExtraAttempts)
 	if answer.Refusal != nil {
@@ -79,8 +87,8 @@
 	}
 	sr := s.series[k]
 	if sr == nil {
-		if len(s.series) >= maxSeries {
-			k = Key{"other", "other"}
+		if len(s.series) >= maxSeries && !s.replaceSmallest(k) {
+			k = otherKey
 		}
 		if sr = s.series[k]; sr == nil {
 			sr = &series{
@@ -93,6 +101,52 @@
 	return sr
 }
 
+// otherKey is the key of the series for all keys without one of their own.
+var otherKey = Key{"other", "other"}
+
+// replaceSmallest counts a request of a key without a series. Once the key has more
+// requests than the smallest series, that series is added to the one for other keys, and
+// replaceSmallest returns true.
+func (s *Set) replaceSmallest(k Key) bool {
+	if s.candidates == nil || (len(s.candidates) >= maxCandidates && s.candidates[k] == 0) {
+		s.candidates = map[Key]uint64{}
+	}
+	s.candidates[k]++
+	var smallest Key
+	least, found := s.candidates[k], false
+	for key, sr := range s.series {
+		if key != otherKey && sr.requests < least {
+			smallest, least, found = key, sr.requests, true
+		}
+	}
+	if !found {
+		return false
+	}
+	other := s.series[otherKey]
+	if other == nil {
+		other = s.series[smallest]
+		s.series[otherKey] = other
+	} else {
+		other.add(s.series[smallest])
+	}
+	delete(s.series, smallest)
+	delete(s.candidates, k)
+	return true
+}
+
+func (sr *series) add(other *series) {
+	sr.latency.Merge(other.latency)
+	for reason, n := range other.refused {
+		sr.refused[reason] += n
+	}
+	sr.wantedShards += other.wantedShards
+	sr.coveredShards += other.coveredShards
+	sr.firstAttempts += other.firstAttempts
+	sr.extraAttempts += other.extraAttempts
+	sr.answered += other.answered
+	sr.requests += other.requests
+}
+
 // A Reading is a copy of one series with derived values.
 type Reading struct {
 	Key
--- a/serve/vm/events.go
+++ b/serve/vm/events.go
@@ -29,6 +29,9 @@
 		Dur("took-ms", answer.Took).Dur("goal-ms", a.Route.Goal).Int("attempts", answer.FirstAttempts+answer.ExtraAttempts).
 		Int("again", answer.ExtraAttempts).Int("covered", len(answer.Coverage.Covered)).
 		Int("missing", len(answer.Coverage.Missing)).Uint64("routes-version", uint64(v.views.Current().RoutesVersion))
+	if a.Tenant != "" {
+		e = e.Str("tenant", string(a.Tenant))
+	}
 	if len(answer.Coverage.Missing) > 0 {
 		e = e.Interface("why-missing", countReasons(answer.Coverage.Missing))
 	}
