--- a/core/node/action.go
+++ b/core/node/action.go
@@ -63,7 +63,7 @@
 	VM     ident.VMID
 	Answer *Answer
 	News   News
-	Usage  usage.Exchange
+	Usage  *usage.Exchange
 }
 
 // A NewsKind is a kind of evidence.
--- a/core/node/usage.go
+++ b/core/node/usage.go
@@ -131,7 +131,8 @@
 	c.applyDecisions(now)
 	c.exchanges = c.usage.Exchanges(now, c.exchanges[:0])
 	for i := range c.exchanges {
-		c.actions = append(c.actions, Action{Kind: ShareUsage, VM: c.exchanges[i].To, Usage: c.exchanges[i]})
+		e := c.exchanges[i]
+		c.actions = append(c.actions, Action{Kind: ShareUsage, VM: e.To, Usage: &e})
 	}
 }
 
--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -36,7 +36,9 @@
 		l.collect(now, a)
 	}
 	a.pool.activeUntil = now.Add(activeTime)
-	return a.pool.grant(now, from, ask)
+	g := a.pool.grant(now, from, ask)
+	g.Collecting = g.Collecting && len(l.peers) > 0
+	return g
 }
 
 // collect borrows this VM's own share and queues questions for the others'.
--- a/serve/traffic/usage.go
+++ b/serve/traffic/usage.go
@@ -42,13 +42,13 @@
 	return usage.Message{}, false
 }
 
-func (l *Loop) shareUsage(ctx context.Context, e usage.Exchange) {
+func (l *Loop) shareUsage(ctx context.Context, e *usage.Exchange) {
 	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 	l.workers++
 	go func() {
 		defer cancel()
-		answer, ok := l.config.Usage.ShareUsage(ctx, &e)
-		l.inbox <- event{kind: usageShared, usage: &usageEvent{exchange: e, message: answer, ok: ok}}
+		answer, ok := l.config.Usage.ShareUsage(ctx, e)
+		l.inbox <- event{kind: usageShared, usage: &usageEvent{exchange: *e, message: answer, ok: ok}}
 	}()
 }
 
