usage: a restarted VM uses its shares once all VMs dropped its loans

Change: a started VM tells the others that it restarted; they drop its shares from their pools. Once all have answered, its shares accrue tokens; else after the lease.

--- a/core/node/usage.go
+++ b/core/node/usage.go
@@ -32,7 +32,7 @@
 // installUsage passes the tenants and VMs of a view to the ledger of usage caps.
 func (c *Core) installUsage(now ident.Instant, v *view.View) {
 	tenants := v.Tenants.All()
-	if len(tenants) == 0 && c.usage.Idle() {
+	if !v.Ready || (len(tenants) == 0 && c.usage.Idle()) {
 		return
 	}
 	peers := make([]usage.Peer, 0, v.Members.Len())
--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -116,6 +116,13 @@
 // Receive answers a question of another VM.
 func (l *Ledger) Receive(now ident.Instant, from ident.VMID, m Message) Message {
 	var answer Message
+	if m.Restarted {
+		for _, a := range l.accounts {
+			if a.pool != nil {
+				a.pool.drop(now, from)
+			}
+		}
+	}
 	for _, ask := range m.Asks {
 		if a := l.account(ask.Tenant); a != nil && !l.leaving {
 			answer.Grants = append(answer.Grants, l.grant(now, a, from, ask))
@@ -145,6 +152,12 @@
 		l.queued = true
 		if !ok {
 			p.suspectedUntil = now.Add(suspicionTime)
+			p.informAt = now.Add(informInterval)
+			l.schedule(p.informAt)
+		}
+		if ok && e.Message.Restarted {
+			p.informed = true
+			l.endWithholding(now)
 		}
 	}
 	for _, ask := range e.Message.Asks {
@@ -180,7 +193,7 @@
 	if now < l.wakeAt {
 		return
 	}
-	l.wakeAt = ident.Never
+	l.wakeAt, l.queued = ident.Never, true
 	collects := now >= l.nextCollect
 	if collects {
 		l.nextCollect = now.Add(ident.Span(collectShare, l.lease))
@@ -235,10 +248,11 @@
 	}
 	l.queued = false
 	for vm, p := range l.peers {
-		if p.outstanding != nil || len(p.asks)+len(p.collects)+len(p.returns) == 0 {
+		restarted := !p.informed && now >= p.informAt && now < l.withheldUntil && l.discardedAt == 0
+		if p.outstanding != nil || !restarted && len(p.asks)+len(p.collects)+len(p.returns) == 0 {
 			continue
 		}
-		m := Message{Returns: p.returns}
+		m := Message{Restarted: restarted, Returns: p.returns}
 		for _, id := range p.asks {
 			if a := l.accounts[id]; a != nil {
 				m.Asks = append(m.Asks, l.askOf(now, a))
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -18,6 +18,8 @@
 	maxLease  = 10 * time.Second
 	// holdTime bounds the time for which a request waits for the grantor's answer.
 	holdTime = 250 * time.Millisecond
+	// informInterval is the time after which a VM that did not answer is informed again.
+	informInterval = 200 * time.Millisecond
 	// suspicionTime is how long a VM that did not answer is not asked.
 	suspicionTime = 2 * time.Second
 	// countTime is how long VMs that left the list are still counted, since the others
@@ -86,6 +88,10 @@
 	// the one before it has ended.
 	asks, collects []ident.TenantID
 	returns        []Return
+	// informed is true once the VM has dropped the loans of an earlier process of this VM.
+	informed bool
+	// informAt is when to inform the VM next.
+	informAt ident.Instant
 	// outstanding is the question without an answer so far; nil if there is none.
 	outstanding *Message
 }
@@ -116,7 +122,7 @@
 	fallsAt ident.Instant
 	lease   time.Duration
 	// The VM's shares accrue no tokens before withheldUntil, while an earlier process of
-	// the VM may have lent them.
+	// the VM may have lent them. It is set to the present once all VMs are informed.
 	withheldUntil ident.Instant
 	// Answers to questions sent before discardedAt are ignored.
 	discardedAt ident.Instant
@@ -148,11 +154,12 @@
 func (l *Ledger) Install(now ident.Instant, tenants []tenant.Tenant, peers []Peer, vms int, bounds Bounds) {
 	l.setPeers(peers)
 	l.setCount(now, max(vms, len(peers)+1))
-	if !l.config.FirstStart {
-		l.withheldUntil = max(l.withheldUntil, l.config.Started.Add(l.lease))
+	if !l.config.FirstStart && !l.installed {
+		l.withheldUntil = l.config.Started.Add(l.lease)
 	}
 	unused := l.installed || l.config.FirstStart
-	l.installed = true
+	l.installed, l.queued = true, true
+	l.endWithholding(now)
 	known := make(map[ident.TenantID]bool, len(tenants))
 	for i := range tenants {
 		t := &tenants[i]
@@ -187,6 +194,20 @@
 	}
 }
 
+// endWithholding lets the shares accrue tokens once no VM holds a loan of an earlier
+// process.
+func (l *Ledger) endWithholding(now ident.Instant) {
+	if now >= l.withheldUntil || l.discardedAt > 0 {
+		return
+	}
+	for _, p := range l.peers {
+		if !p.informed {
+			return
+		}
+	}
+	l.withheldUntil = now
+}
+
 // account returns the account of a tenant; nil if the tenant has no cap.
 func (l *Ledger) account(id ident.TenantID) *account {
 	if a := l.accounts[id]; a != nil && a.removedAt == 0 {
--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -146,6 +146,32 @@
 	}
 }
 
+func TestRestartedVMUsesItsShareOnceAllVMsDroppedItsLoans(t *testing.T) {
+	limit := tenant.Tenant{ID: "courts", Rate: 10, Burst: 40}
+	_, grantor := pair(limit, start.Add(-time.Hour))
+	p := newPool(start)
+	grantor.accounts["courts"].pool = p
+	p.add(start, start, "vm-0", Loan{Tenant: "courts", Rate: 5, Capacity: 20, Lease: time.Second})
+	owner, _ := pair(limit, start)
+	questions := owner.Exchanges(start, nil)
+	if len(questions) != 1 || !questions[0].Message.Restarted {
+		t.Fatalf("the questions are %+v, expected one", questions)
+	}
+	if owner.Complete(start, questions[0], Message{}, false); len(owner.Exchanges(start.Add(step), nil)) != 0 {
+		t.Error("the VM asked again at once")
+	}
+	answer := grantor.Receive(start, "vm-0", questions[0].Message)
+	if len(p.shares) != 0 {
+		t.Error("the grantor kept the share")
+	}
+	now := start.Add(100 * time.Millisecond)
+	owner.Complete(now, questions[0], answer, true)
+	a := owner.accounts["courts"]
+	if owner.accrue(now.Add(time.Second), a); a.tokens != 5 {
+		t.Errorf("the VM has %v tokens, expected 5", a.tokens)
+	}
+}
+
 func TestLoanMovesTokens(t *testing.T) {
 	owner, grantor := pair(tenant.Tenant{ID: "courts", Rate: 10, Burst: 40}, start)
 	now := start.Add(time.Minute)
--- a/core/usage/message.go
+++ b/core/usage/message.go
@@ -9,7 +9,10 @@
 // A Message is what one VM sends to another about the caps that they share: Asks,
 // Collects and Returns in a question, Grants and Loans in its answer.
 type Message struct {
-	Asks []Ask
+	// Restarted is true if an earlier process of the sender may have lent its shares to
+	// the receiver. The receiver drops them.
+	Restarted bool
+	Asks      []Ask
 	// Collects holds the tenants whose shares the sender wants to borrow.
 	Collects []ident.TenantID
 	// Returns end loans that the sender no longer needs.
@@ -18,7 +21,9 @@
 	Loans   []Loan
 }
 
-func (m *Message) empty() bool { return len(m.Asks)+len(m.Collects)+len(m.Returns) == 0 }
+func (m *Message) empty() bool {
+	return !m.Restarted && len(m.Asks)+len(m.Collects)+len(m.Returns) == 0
+}
 
 // An Ask requests tokens of a tenant from its grantor.
 type Ask struct {
--- a/core/usage/pool.go
+++ b/core/usage/pool.go
@@ -78,6 +78,13 @@
 	p.tokens = min(p.tokens+max(loan.Tokens, 0), p.capacity())
 }
 
+// drop removes the share of a VM.
+func (p *pool) drop(now ident.Instant, vm ident.VMID) {
+	p.accrue(now)
+	delete(p.shares, vm)
+	p.tokens = min(p.tokens, p.capacity())
+}
+
 // grant answers an ask. Spare tokens are granted only to a VM that lent its share, and only
 // while the pool is more than half full.
 func (p *pool) grant(now ident.Instant, from ident.VMID, ask Ask) Grant {
