--- a/serve/eventlog/eventlog_test.go
+++ b/serve/eventlog/eventlog_test.go
@@ -93,6 +93,29 @@
 	}
 }
 
+func TestExplainTenant(t *testing.T) {
+	log := `{"time":"2026-02-19T19:00:09.000Z","message":"request-refused","request":"1","tenant":"courts","reason":"over-usage-cap","detail":"cap 6/s"}
+{"time":"2026-02-19T19:00:10.000Z","message":"request-late","request":"2","tenant":"courts"}
+{"time":"2026-02-19T19:00:11.000Z","message":"request-refused","request":"3","tenant":"schools","reason":"over-usage-cap"}
+`
+	lines, err := eventlog.Read("entry-0", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if !eventlog.ExplainTenant(&out, lines, "courts") {
+		t.Fatal("the tenant was not found")
+	}
+	for _, part := range []string{"courts: 1 requests refused", "1  over-usage-cap at entry-0", "detail=cap 6/s"} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("%q is missing in %s", part, out.String())
+		}
+	}
+	if eventlog.ExplainTenant(&out, lines, "unknown") {
+		t.Error("an unknown tenant was found")
+	}
+}
+
 var (
 	logged     = regexp.MustCompile(`(?:Msg\(|\\"message\\":\\)"([a-z][a-z-]+)`)
 	documented = regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\|")
