usage: fewer grantors, shorter leases, longer suspicion of VMs that do not answer

Each of 32 VMs asked all others.

Change: tenants share grantors in 8 groups, which makes room for leases of 1.2 s at about the same traffic; suspicion doubles with each failure and ends with a message of the VM.

--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -113,9 +113,18 @@
 	l.schedule(at)
 }
 
+// suspect lets other VMs be asked in place of one that did not answer.
+func (l *Ledger) suspect(now ident.Instant, p *peerState) {
+	p.suspectedUntil = now.Add(min(suspicionTime<<min(p.failures, 10), maxSuspicionTime))
+	p.failures++
+}
+
 // Receive answers a question of another VM.
 func (l *Ledger) Receive(now ident.Instant, from ident.VMID, m Message) Message {
 	var answer Message
+	if p := l.peers[from]; p != nil && len(m.Asks)+len(m.Collects) > 0 {
+		p.suspectedUntil, p.failures = 0, 0
+	}
 	if m.Restarted {
 		for _, a := range l.accounts {
 			if a.pool != nil {
@@ -148,10 +157,12 @@
 	p := l.peers[e.To]
 	if p != nil {
 		p.outstanding = nil
-		p.suspectedUntil = 0
 		l.queued = true
+		if ok {
+			p.suspectedUntil, p.failures = 0, 0
+		}
 		if !ok {
-			p.suspectedUntil = now.Add(suspicionTime)
+			l.suspect(now, p)
 			p.informAt = now.Add(informInterval)
 			l.schedule(p.informAt)
 		}
@@ -178,9 +189,9 @@
 	}
 	for _, ask := range e.Message.Asks {
 		granted := slices.ContainsFunc(answer.Grants, func(g Grant) bool { return g.Tenant == ask.Tenant })
-		if p != nil && !granted {
-			// The grantor did not answer, does not know the tenant yet, or is stopping.
-			p.suspectedUntil = now.Add(suspicionTime)
+		if p != nil && ok && !granted {
+			// The grantor does not know the tenant yet, or is stopping.
+			l.suspect(now, p)
 		}
 		if a := l.accounts[ask.Tenant]; a != nil && len(a.waiting) > 0 && !a.asking && a.askAt == ident.Never {
 			l.askLater(a, now)
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -13,15 +14,22 @@
 	collectShare = 0.45
 	// A lease takes leaseTime for up to leaseVMs VMs and grows with their number, so that
 	// the questions a second of a grantor do not, up to maxLease.
-	leaseTime = 2500 * time.Millisecond
+	leaseTime = 1200 * time.Millisecond
 	leaseVMs  = 64
 	maxLease  = 10 * time.Second
 	// holdTime bounds the time for which a request waits for the grantor's answer.
 	holdTime = 250 * time.Millisecond
 	// informInterval is the time after which a VM that did not answer is informed again.
 	informInterval = 200 * time.Millisecond
-	// suspicionTime is how long a VM that did not answer is not asked.
-	suspicionTime = 2 * time.Second
+	// suspicionTime is how long a VM that did not answer is not asked. It doubles with each
+	// further failure, up to maxSuspicionTime, and ends with the next message of the VM.
+	suspicionTime    = time.Second
+	maxSuspicionTime = 16 * time.Second
+	// The tenants of a group have the same grantor. There is a group for each vmsPerGroup
+	// VMs, at least minGroups. Fewer groups need fewer messages; with more, each grantor
+	// sends less, and fewer tenants depend on it.
+	minGroups   = 8
+	vmsPerGroup = 8
 	// countTime is how long VMs that left the list are still counted, since the others
 	// notice it at different times.
 	countTime = 30 * time.Second
@@ -84,6 +92,8 @@
 type peerState struct {
 	address        string
 	suspectedUntil ident.Instant
+	// failures counts the questions without an answer since the last message of the VM.
+	failures int
 	// asks, collects and returns are those of the next question. The question is sent when
 	// the one before it has ended.
 	asks, collects []ident.TenantID
@@ -121,6 +131,8 @@
 	listed  int
 	fallsAt ident.Instant
 	lease   time.Duration
+	// groups is the number of groups of tenants with the same grantor.
+	groups int
 	// The VM's shares accrue no tokens before withheldUntil, while an earlier process of
 	// the VM may have lent them. It is set to the present once all VMs are informed.
 	withheldUntil ident.Instant
@@ -142,7 +154,7 @@
 func New(config Config) *Ledger {
 	return &Ledger{
 		config: config, accounts: map[ident.TenantID]*account{}, peers: map[ident.VMID]*peerState{},
-		count: 1, lease: leaseTime, wakeAt: ident.Never,
+		count: 1, lease: leaseTime, groups: minGroups, wakeAt: ident.Never,
 	}
 }
 
@@ -245,11 +257,21 @@
 		}
 		delete(l.peers, vm)
 	}
+	l.forgetOrders()
+}
+
+func (l *Ledger) forgetOrders() {
 	for _, a := range l.accounts {
 		a.order = nil
 	}
 }
 
+// groupsOf returns the number of groups of tenants, a power of two so that it seldom
+// changes.
+func groupsOf(vms int) int {
+	return max(minGroups, 1<<bits.Len(uint(vms-1))/vmsPerGroup)
+}
+
 // setCount sets the number of VMs that share the caps. It rises at once and falls late.
 func (l *Ledger) setCount(now ident.Instant, vms int) {
 	if vms < l.count && l.listed != vms {
@@ -259,6 +281,10 @@
 	if vms >= l.count || now >= l.fallsAt {
 		l.count = vms
 	}
+	if groups := groupsOf(l.count); groups != l.groups {
+		l.groups = groups
+		l.forgetOrders()
+	}
 	l.lease = min(max(leaseTime, leaseTime*time.Duration(l.count)/leaseVMs), maxLease)
 }
 
--- a/core/usage/share.go
+++ b/core/usage/share.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -151,16 +152,17 @@
 	return l.config.VM
 }
 
-// grantorOrder returns this VM and its peers in the rendezvous order of a tenant.
+// grantorOrder returns this VM and its peers in the rendezvous order of a tenant's group.
 func (l *Ledger) grantorOrder(tenant ident.TenantID) []ident.VMID {
 	order := make([]ident.VMID, 0, len(l.peers)+1)
 	order = append(order, l.config.VM)
 	for vm := range l.peers {
 		order = append(order, vm)
 	}
+	group := strconv.FormatUint(xxhash.Sum64String(string(tenant))%uint64(l.groups), 10)
 	scores := make(map[ident.VMID]uint64, len(order))
 	for _, vm := range order {
-		scores[vm] = xxhash.Sum64String(string(tenant) + "/" + string(vm))
+		scores[vm] = xxhash.Sum64String(group + "/" + string(vm))
 	}
 	slices.SortFunc(order, func(x, y ident.VMID) int {
 		return cmp.Or(cmp.Compare(scores[y], scores[x]), cmp.Compare(x, y))
--- a/serve/codec/usage.go
+++ b/serve/codec/usage.go
@@ -29,7 +29,7 @@
 	}
 	for _, l := range m.Loans {
 		out.Loans = append(out.Loans, &schema.UsageLoan{
-			Tenant: string(l.Tenant), Rate: float64(l.Rate), Capacity: float32(l.Capacity), Held: float32(l.Held), Tokens: float32(l.Tokens),
+			Tenant: string(l.Tenant), Rate: float32(l.Rate), Capacity: float32(l.Capacity), Held: float32(l.Held), Tokens: float32(l.Tokens),
 			LeaseMs: uint32(max(l.Lease, 0) / time.Millisecond),
 		})
 	}
