--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -152,24 +152,28 @@
 	return answer
 }
 
+// record records whether a VM answered.
+func (l *Ledger) record(now ident.Instant, p *peerState, e *Exchange, ok bool) {
+	p.outstanding = nil
+	l.queued = true
+	if !ok {
+		l.suspect(now, p)
+		p.informAt = now.Add(informInterval)
+		l.schedule(p.informAt)
+		return
+	}
+	p.suspectedUntil, p.failures = 0, 0
+	if e.Message.Restarted {
+		p.informed = true
+		l.endWithholding(now)
+	}
+}
+
 // Complete applies the answer to an Exchange, or its failure if ok is false.
 func (l *Ledger) Complete(now ident.Instant, e Exchange, answer Message, ok bool) {
 	p := l.peers[e.To]
 	if p != nil {
-		p.outstanding = nil
-		l.queued = true
-		if ok {
-			p.suspectedUntil, p.failures = 0, 0
-		}
-		if !ok {
-			l.suspect(now, p)
-			p.informAt = now.Add(informInterval)
-			l.schedule(p.informAt)
-		}
-		if ok && e.Message.Restarted {
-			p.informed = true
-			l.endWithholding(now)
-		}
+		l.record(now, p, &e, ok)
 	}
 	for _, ask := range e.Message.Asks {
 		if a := l.accounts[ask.Tenant]; a != nil {
@@ -177,15 +181,8 @@
 		}
 	}
 	ok = ok && e.Sent >= l.discardedAt
-	for _, g := range answer.Grants {
-		if a := l.account(g.Tenant); a != nil && ok {
-			l.answered(now, a, g)
-		}
-	}
-	for _, loan := range answer.Loans {
-		if a := l.account(loan.Tenant); a != nil && ok && a.pool != nil && e.Sent.Add(loan.Lease) > now {
-			a.pool.add(now, e.Sent, e.To, loan)
-		}
+	if ok {
+		l.apply(now, &e, &answer)
 	}
 	for _, ask := range e.Message.Asks {
 		granted := slices.ContainsFunc(answer.Grants, func(g Grant) bool { return g.Tenant == ask.Tenant })
@@ -199,6 +196,20 @@
 	}
 }
 
+// apply adds the tokens and shares of an answer.
+func (l *Ledger) apply(now ident.Instant, e *Exchange, answer *Message) {
+	for _, g := range answer.Grants {
+		if a := l.account(g.Tenant); a != nil {
+			l.answered(now, a, g)
+		}
+	}
+	for _, loan := range answer.Loans {
+		if a := l.account(loan.Tenant); a != nil && a.pool != nil && e.Sent.Add(loan.Lease) > now {
+			a.pool.add(now, e.Sent, e.To, loan)
+		}
+	}
+}
+
 // Tick does what is due at now.
 func (l *Ledger) Tick(now ident.Instant) {
 	if now < l.wakeAt {
