usage: skip tenants that did not change; count what accrued before the number of VMs changes

Cause: each view of the replicas went through all tenants, and a change of the number of VMs was applied to the time before it.

--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -139,6 +139,10 @@
 	// Answers to questions sent before discardedAt are ignored.
 	discardedAt ident.Instant
 	nextCollect ident.Instant
+	// tenants are those of the last Install. Accounts of removed tenants are deleted at
+	// purgeAt.
+	tenants []tenant.Tenant
+	purgeAt ident.Instant
 	// installed is true after the first Install.
 	installed bool
 	// wakeAt is the earliest instant at which something is due.
@@ -172,6 +176,10 @@
 	unused := l.installed || l.config.FirstStart
 	l.installed, l.queued = true, true
 	l.endWithholding(now)
+	if sameList(tenants, l.tenants) && now < l.purgeAt {
+		return
+	}
+	l.tenants, l.purgeAt = tenants, ident.Never
 	known := make(map[ident.TenantID]bool, len(tenants))
 	for i := range tenants {
 		t := &tenants[i]
@@ -200,12 +208,21 @@
 		case a.removedAt == 0:
 			l.admitAll(a)
 			a.removedAt = now
-		case now.Sub(a.removedAt) > countTime:
+			l.purgeAt = now.Add(countTime)
+		case now.Sub(a.removedAt) >= countTime:
 			delete(l.accounts, id)
+		default:
+			l.purgeAt = min(l.purgeAt, a.removedAt.Add(countTime))
 		}
 	}
 }
 
+// sameList reports whether two lists are one, as they are in the views of one version of
+// the configuration.
+func sameList(a, b []tenant.Tenant) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // endWithholding lets the shares accrue tokens once no VM holds a loan of an earlier
 // process.
 func (l *Ledger) endWithholding(now ident.Instant) {
@@ -278,7 +295,10 @@
 		l.fallsAt = now.Add(countTime)
 	}
 	l.listed = vms
-	if vms >= l.count || now >= l.fallsAt {
+	if vms > l.count || (vms < l.count && now >= l.fallsAt) {
+		for _, a := range l.accounts {
+			l.accrue(now, a)
+		}
 		l.count = vms
 	}
 	if groups := groupsOf(l.count); groups != l.groups {
--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -236,3 +236,24 @@
 		last = r.RetryAfter
 	}
 }
+
+func TestCapThatIsRemovedAndSetAgainHasNoNewBurst(t *testing.T) {
+	limits := []tenant.Tenant{{ID: "courts", Rate: 1, Burst: 10}}
+	l := New(Config{VM: "vm-0", Started: start, FirstStart: true})
+	l.Install(start, limits, nil, 1, Bounds{})
+	for i := range 10 {
+		l.Admit(start, "courts", ident.QueryID(i))
+	}
+	l.Install(start, nil, nil, 1, Bounds{})
+	if verdict, _ := l.Admit(start, "courts", 11); verdict != Admitted {
+		t.Error("a request of a tenant without a cap was not admitted")
+	}
+	l.Install(start, limits, nil, 1, Bounds{})
+	if l.Admit(start, "courts", 12); len(l.Decisions(nil)) != 1 {
+		t.Error("the cap that was set again has a new burst")
+	}
+	l.Install(start, nil, nil, 1, Bounds{})
+	if l.Install(start.Add(countTime), nil, nil, 1, Bounds{}); !l.Idle() {
+		t.Error("the account of the removed cap was kept")
+	}
+}
