--- a/serve/settings/typed.go
+++ b/serve/settings/typed.go
@@ -8,6 +8,7 @@
 	"carawaycross.example/carawaycross/core/retry"
 	"carawaycross.example/carawaycross/core/roster"
 	"carawaycross.example/carawaycross/core/snapshot"
+	"carawaycross.example/carawaycross/core/usage"
 	"carawaycross.example/carawaycross/core/view"
 	"carawaycross.example/carawaycross/schema"
 	"carawaycross.example/carawaycross/serve/codec"
@@ -104,6 +105,14 @@
 	return intake.Limits{Connections: int(d.GetCallerConnections()), Memory: ident.Bytes(d.GetRequestMemoryBytes())}
 }
 
+// UsageBounds returns how exactly the usage caps of tenants hold over all VMs.
+func (s *Settings) UsageBounds() usage.Bounds {
+	u := s.Message.GetDiscovery().GetUsage()
+	return usage.Bounds{
+		Window: u.GetWindow().AsDuration(), Overshoot: u.GetOvershoot(), Allowance: ident.Tokens(u.GetAllowance()),
+	}
+}
+
 // QuotaLimits returns the limits of the extra attempts to discovered services.
 func (s *Settings) QuotaLimits() retry.QuotaLimits {
 	d := s.Message.Discovery
