container, fairness: queue that is fair among flows, and max-min shares

Cause: the queue of a shard is first come, first served within a rank, so that a tenant that sends several times its usual holds the places and the slots.

FairQueue serves ranks first and, within a rank, flows in turns (start-time fair queueing). Eviction takes from the flow with the most places. A floor of a sixth of the turns and places keeps low ranks from starving. Package fairness has the max-min shares of places in flight and of extra attempts.

With one flow the queue decides as container.Queue does (TestFairQueueOfOneFlow). core/node uses tenants as flows once the configuration has tenants. The tests of core/... pass.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -19,6 +19,9 @@
 	// QueueFull is true when the queues of the required shards have no room for one
 	// more query of this class.
 	QueueFull bool
+	// OverShare is true when little room is left and the request's tenant holds its fair
+	// share of it.
+	OverShare bool
 	// AttemptLatency is the least time that an attempt is expected to take, as
 	// retry.Latency.Fastest returns it; 0 while unknown.
 	AttemptLatency time.Duration
@@ -60,7 +63,7 @@
 	if r.InFlight >= limit {
 		return TooMany
 	}
-	if r.QueueFull {
+	if r.QueueFull || r.OverShare {
 		return TooMany
 	}
 	spare := r.Left - r.AttemptLatency
--- a/core/container/ring.go
+++ b/core/container/ring.go
@@ -1,7 +1,7 @@
 // Package container provides the generic containers of the decision code: a ring
-// buffer, a priority queue, a sliding-window sum, a timer heap, a slab with
-// generational handles and a copy-on-write map. They are not safe for concurrent
-// use unless the documentation of the type says so.
+// buffer, a priority queue, one that is fair among flows, a sliding-window sum, a timer
+// heap, a slab with generational handles and a copy-on-write map. They are not safe for
+// concurrent use unless the documentation of the type says so.
 package container
 
 // A Ring is a ring buffer that keeps the last values pushed, up to its capacity.
--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -69,11 +69,18 @@
 	if !hedge && p.svc.hasQuota && p.svc.quota.BelowReserve(now, q.quotaReserve()) && !q.requires(p) {
 		return false
 	}
+	if c.exceedsExtras(now, q, p.svc, hedge) {
+		return false
+	}
 	input := SpendInput{Now: now, Budget: p.svc.budget(q.rank), Hedge: hedge}
 	if p.svc.hasQuota {
 		input.Quota = &p.svc.quota
 	}
-	return c.policies.Spend.Decide(input)
+	if !c.policies.Spend.Decide(input) {
+		return false
+	}
+	c.countExtra(now, q, p.svc, 1)
+	return true
 }
 
 func (c *Core) sendAttempt(now ident.Instant, q *query, i int, r *replica.State) {
@@ -100,7 +107,7 @@
 func (c *Core) enqueue(now ident.Instant, q *query, i int) {
 	p := &q.parts[i]
 	p.state = partQueued
-	evicted, full := p.shard.queue.Push(q.rank, queuedPart{query: q.handle, part: i})
+	evicted, full := p.shard.queue.Push(q.rank, q.flow, queuedPart{query: q.handle, part: i})
 	c.scheduleQueue(now, p.svc, p.shard)
 	if !full {
 		return
@@ -142,9 +149,10 @@
 		if !queued.deferred && c.canDefer(now, q, &q.parts[queued.part]) {
 			queued.deferred = true
 			// The Pop above left room for this Push.
-			sh.queue.Push(len(q.preset.Classes), queued)
+			sh.queue.Push(len(q.preset.Classes), q.flow, queued)
 			continue
 		}
+		sh.queue.Charge()
 		c.serveQueued(now, q, queued.part)
 	}
 	if sh.queue.Len() > 0 {
--- a/core/node/core.go
+++ b/core/node/core.go
@@ -7,6 +7,7 @@
 	"carawaycross.example/carawaycross/core/admission"
 	"carawaycross.example/carawaycross/core/booking"
 	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/fairness"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/poison"
 	"carawaycross.example/carawaycross/core/replica"
@@ -114,6 +115,8 @@
 	freeQueries []*query
 	// inFlight counts the admitted queries that are not answered.
 	inFlight int
+	// tenants records the admitted queries by tenant, once the configuration has tenants.
+	tenants fairness.Places[ident.TenantID]
 }
 
 // New returns a Core without a view. It refuses requests until Install is called.
@@ -196,6 +199,7 @@
 		return ident.QueryID(h)
 	}
 	c.inFlight++
+	c.tenants.Take(q.flow)
 	q.admitted = true
 	c.timers.Add(q.deadline, timer{kind: deadlineTimer, query: h})
 	if a.Key != "" {
@@ -280,8 +284,8 @@
 	var wait time.Duration
 	queueFull := false
 	for _, sh := range q.svc.shards {
-		wait = max(wait, sh.EstimateWait(now, sh.queue.Ahead(q.rank), median))
-		queueFull = queueFull || !sh.queue.CanPush(q.rank)
+		wait = max(wait, sh.EstimateWait(now, sh.queue.Ahead(q.rank, q.flow), median))
+		queueFull = queueFull || !sh.queue.CanPush(q.rank, q.flow)
 	}
 	return c.policies.Admit.Decide(admission.Request{
 		Rank: q.rank, Ranks: len(q.preset.Classes),
@@ -404,6 +408,7 @@
 	q.answered = true
 	if q.admitted {
 		c.inFlight--
+		c.tenants.Release(q.flow)
 	}
 	c.actions = append(c.actions, Action{Kind: Finish, Query: ident.QueryID(q.handle), Answer: a})
 	if q.arrival.Key != "" && q.hasInFlight() {
--- a/core/node/passing.go
+++ b/core/node/passing.go
@@ -78,6 +78,7 @@
 		rank = t.Rank
 	}
 	q.rank = min(max(rank, 0), max(len(p.Classes)-1, 0))
+	c.joinFlow(now, q)
 	q.allowedAttempts = min(max(r.Attempts, 1), preset.MaxAttempts)
 	if !q.repeatable() {
 		q.allowedAttempts = 1
@@ -113,8 +114,8 @@
 		if sh == nil || sh.Usable(now) == 0 {
 			continue
 		}
-		waits = append(waits, sh.EstimateWait(now, sh.queue.Ahead(q.rank), expected))
-		if sh.queue.CanPush(q.rank) {
+		waits = append(waits, sh.EstimateWait(now, sh.queue.Ahead(q.rank, q.flow), expected))
+		if sh.queue.CanPush(q.rank, q.flow) {
 			queuesWithRoom++
 		}
 	}
@@ -130,12 +131,14 @@
 		Rank: q.rank, Ranks: len(q.preset.Classes),
 		InFlight: c.inFlight, MaxInFlight: q.preset.QueriesInFlight, QueueFull: queuesWithRoom < needed,
 		Wait: waits[needed-1], AttemptLatency: q.profile.latency.Fastest(now), Left: q.deadline.Sub(now),
+		OverShare: c.exceedsPlaces(now, q),
 	}
 	reason := c.policies.Admit.Decide(r)
 	if reason == admission.Admitted {
 		return reason, ""
 	}
-	return reason, fmt.Sprintf("%d in flight, a wait of %v, then %v; %v left", r.InFlight, r.Wait, r.AttemptLatency, r.Left)
+	return reason, fmt.Sprintf("%d in flight, a wait of %v, then %v; %v left", r.InFlight, r.Wait, r.AttemptLatency, r.Left) +
+		c.shareDetail(now, q)
 }
 
 // neededParts returns the least number of parts for the least coverage, at least one.
@@ -282,6 +285,7 @@
 		q.failureReply = reply.Message
 	case replica.Unsent:
 		p.svc.quota.Refund(now)
+		c.countExtra(now, q, p.svc, -1)
 	case replica.Broken:
 		c.recordBroken(now, q, a)
 	default:
@@ -343,6 +347,7 @@
 func (c *Core) refuseIncomplete(now ident.Instant, q *query, a *Answer) {
 	reason := coverageTooLow
 	first := a.Coverage.Missing[0].Reason
+	detail := string(first)
 	switch {
 	case now >= q.deadline || first == coverage.DeadlineExceeded:
 		reason = DeadlinePassed
@@ -350,10 +355,11 @@
 		reason = upstreamFailed
 	case first == coverage.Overload:
 		reason = admission.TooMany
+		detail += c.shareDetail(now, q)
 	case first == coverage.NoReplica:
 		reason = noUpstream
 	}
-	a.Refusal = &Refusal{Outcome: booking.MayHaveRun, Reason: reason, Detail: string(first)}
+	a.Refusal = &Refusal{Outcome: booking.MayHaveRun, Reason: reason, Detail: detail}
 	if q.crashes() {
 		a.Refusal.Detail += ", not retried: the request crashes replicas"
 	}
@@ -408,7 +414,7 @@
 	var longest time.Duration
 	for i := range q.parts {
 		if sh := q.parts[i].shard; sh != nil {
-			longest = max(longest, sh.EstimateWait(now, sh.queue.Ahead(q.rank), q.profile.expectedLatency(now)))
+			longest = max(longest, sh.EstimateWait(now, sh.queue.Ahead(q.rank, q.flow), q.profile.expectedLatency(now)))
 		}
 	}
 	return longest
--- a/core/node/query.go
+++ b/core/node/query.go
@@ -97,9 +97,12 @@
 	profile *profile
 	// target is the target of the route that the query was assigned to; nil for a search or
 	// booking.
-	target   *route.Target
-	preset   *preset.Preset
-	rank     int
+	target *route.Target
+	preset *preset.Preset
+	rank   int
+	// flow is the tenant whose share the query uses. It is empty for requests without a
+	// key, which share one flow.
+	flow     ident.TenantID
 	started  ident.Instant
 	deadline ident.Instant
 	// wantedCoverage ends the query early; leastCoverage is the least that is answered
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/fairness"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/replica"
 	"carawaycross.example/carawaycross/core/retry"
@@ -21,7 +22,8 @@
 
 type shard struct {
 	replica.Shard
-	queue *container.Queue[queuedPart]
+	// queue has the tenants as flows.
+	queue *container.FairQueue[ident.TenantID, queuedPart]
 	// timerPending is true while a queueTimer of the shard is pending.
 	timerPending bool
 }
@@ -36,6 +38,8 @@
 	// quota bounds the extra attempts if hasQuota is set; otherwise budgets do.
 	quota    retry.Quota
 	hasQuota bool
+	// extras counts the extra attempts of each tenant against the quota.
+	extras fairness.Extras[ident.TenantID]
 	// distinctStarts is view.Service.DistinctStarts.
 	distinctStarts bool
 	// budgets are indexed by the rank of the class.
@@ -113,7 +117,7 @@
 			}
 		}
 		s.updateReplica(now, v, vs, vr, r)
-		sh := s.shard(vr.Shard, v.Preset.QueueLength, len(v.Preset.Classes))
+		sh := s.shard(vr.Shard, v)
 		sh.Replicas = append(sh.Replicas, r)
 	}
 }
@@ -150,18 +154,19 @@
 
 // shard returns the shard with the ID and creates it on first use. Its queue has one level
 // for each rank, and one behind them for deferred parts.
-func (s *service) shard(id ident.ShardID, queueLength, ranks int) *shard {
-	ranks++
+func (s *service) shard(id ident.ShardID, v *view.View) *shard {
+	queueLength, ranks := v.Preset.QueueLength, len(v.Preset.Classes)+1
 	sh := s.shards[id]
 	if sh == nil {
 		sh = &shard{
 			Shard: replica.Shard{ID: id},
-			queue: container.NewQueue[queuedPart](queueLength, ranks),
+			queue: container.NewFairQueue[ident.TenantID, queuedPart](queueLength, ranks),
 		}
 		s.shards[id] = sh
 		s.shardOrder = append(s.shardOrder, id)
 	}
 	sh.queue.Resize(queueLength, ranks)
+	sh.queue.SetFloor(queueFloor(v))
 	return sh
 }
 
--- a/core/retry/quota.go
+++ b/core/retry/quota.go
@@ -81,6 +81,20 @@
 	return ratioUsed*float64(q.limits.Ratio)*float64(q.firsts.Sum(now)) + allowanceShare
 }
 
+// Allowed returns how many extra attempts, or only hedges, the VM may send in the window
+// of length CountedSpan that ends now.
+func (q *Quota) Allowed(now ident.Instant, hedge bool) float64 {
+	if hedge {
+		return hedgeShare * q.allowed(now)
+	}
+	return q.allowed(now)
+}
+
+// CountedSpan returns the time over which extra attempts are counted.
+func (q *Quota) CountedSpan() time.Duration {
+	return time.Duration(float64(q.limits.Span) * countedSpans)
+}
+
 // BelowReserve reports whether less than the share reserve of the quota remains.
 // What remains is then for attempts on which the success of a request depends; other
 // attempts should be delayed.
@@ -93,11 +107,7 @@
 	if !q.limits.Set() {
 		return false
 	}
-	allowed := q.allowed(now)
-	if hedge {
-		allowed *= hedgeShare
-	}
-	if float64(q.extra.Sum(now))+1 > allowed {
+	if float64(q.extra.Sum(now))+1 > q.Allowed(now, hedge) {
 		return false
 	}
 	q.extra.Add(now, 1)
