node: share slots, places and extra attempts among tenants

Cause: one tenant that sends 7.5 times its usual takes the queue's places and the retries of the others. A ranked tenant's urgent requests also wait behind its own others.

Each tenant is a flow of the shard queues (a ranked one has a flow for each class), admission refuses a tenant that holds its max-min share of the places in flight once three quarters are taken, and extra attempts are shared the same way. Wait estimates and Retry-After are those of the tenant's own flow. A refusal's detail names tenant, rank, places, share and turn.

The check of the simulation that a refused request did not run uses a set in place of a scan.

--- a/core/container/fairqueue.go
+++ b/core/container/fairqueue.go
@@ -25,9 +25,10 @@
 	popOwed    bool
 }
 
-// A Floor keeps low ranks from starving. While values of higher ranks wait, the ranks from
-// 1 to Ranks-1 together get at least Share of the turns and of the capacity, in equal
-// parts. The zero value is strict priority.
+// A Floor keeps low ranks from starving. While values of higher ranks wait, those of the
+// ranks from 1 to Ranks-1 together get at least Share of the turns, in equal parts for the
+// ranks that wait, and each rank an equal part of Share of the capacity. The zero value is
+// strict priority.
 type Floor struct {
 	Share ident.Share
 	Ranks int
@@ -41,17 +42,29 @@
 // SetFloor sets the floor of the low ranks.
 func (q *FairQueue[K, T]) SetFloor(f Floor) { q.floor = f }
 
-// rankShare returns the share that the floor guarantees to a rank.
-func (q *FairQueue[K, T]) rankShare(rank int) float64 {
-	if rank < 1 || rank >= q.floor.Ranks {
-		return 0
-	}
-	return float64(q.floor.Share) / float64(q.floor.Ranks-1)
+// low reports whether the floor covers a rank.
+func (q *FairQueue[K, T]) low(rank int) bool {
+	return q.floor.Share > 0 && rank >= 1 && rank < min(q.floor.Ranks, len(q.levels))
 }
 
 // reserved returns the part of the capacity that the floor reserves for a rank.
 func (q *FairQueue[K, T]) reserved(rank int) int {
-	return int(q.rankShare(rank) * float64(q.capacity))
+	if !q.low(rank) {
+		return 0
+	}
+	return int(float64(q.floor.Share) * float64(q.capacity) / float64(q.floor.Ranks-1))
+}
+
+// turnShare returns the share of the turns that the floor grants to a low rank while it and
+// the present ones wait.
+func (q *FairQueue[K, T]) turnShare(rank int) float64 {
+	waiting := 1
+	for other := 1; q.low(other); other++ {
+		if other != rank && q.levels[other].size > 0 {
+			waiting++
+		}
+	}
+	return float64(q.floor.Share) / float64(waiting)
 }
 
 func (q *FairQueue[K, T]) clamp(rank int) int { return min(max(rank, 0), len(q.levels)-1) }
@@ -149,9 +162,9 @@
 	if q.popOwed {
 		return
 	}
-	for rank := q.poppedRank + 1; rank < min(q.floor.Ranks, len(q.levels)); rank++ {
+	for rank := q.poppedRank + 1; q.low(rank); rank++ {
 		if lower := &q.levels[rank]; lower.size > 0 {
-			lower.owed += q.rankShare(rank) / (1 - float64(q.floor.Share))
+			lower.owed += q.turnShare(rank) / (1 - float64(q.floor.Share))
 		}
 	}
 }
@@ -196,8 +209,8 @@
 		higher += q.levels[i].size
 	}
 	own := q.levels[rank].ahead(key)
-	if share := q.rankShare(rank); share > 0 {
-		higher = min(higher, int(float64(own+1)*(1/share-1)))
+	if q.low(rank) {
+		higher = min(higher, int(float64(own+1)*(1/q.turnShare(rank)-1)))
 	}
 	return higher + own
 }
--- a/core/fairness/fairness.go
+++ b/core/fairness/fairness.go
@@ -101,7 +101,7 @@
 }
 
 // Over reports whether a tenant that asks for one more place holds its share of the
-// capacity, while no more than the reserve is free and other tenants are active. It also
+// capacity, while no more than the Reserve is free and other tenants are active. It also
 // returns that share.
 func (p *Places[K]) Over(now ident.Instant, k K, capacity int) (share float64, over bool) {
 	usable := float64(capacity) * float64(1-Reserve)
@@ -154,8 +154,8 @@
 }
 
 // Over reports whether a tenant that wants one more extra attempt has spent its share of
-// the allowed ones. It is asked only while no more than the Reserve remains and other
-// tenants are active.
+// the allowed ones beside other active tenants. It is false while more than the Reserve
+// remains.
 func (e *Extras[K]) Over(now ident.Instant, k K, allowed float64) bool {
 	own := 0
 	e.buf = e.buf[:0]
--- a/core/node/core.go
+++ b/core/node/core.go
@@ -199,7 +199,7 @@
 		return ident.QueryID(h)
 	}
 	c.inFlight++
-	c.tenants.Take(q.flow)
+	c.tenants.Take(q.flow.tenant)
 	q.admitted = true
 	c.timers.Add(q.deadline, timer{kind: deadlineTimer, query: h})
 	if a.Key != "" {
@@ -408,7 +408,7 @@
 	q.answered = true
 	if q.admitted {
 		c.inFlight--
-		c.tenants.Release(q.flow)
+		c.tenants.Release(q.flow.tenant)
 	}
 	c.actions = append(c.actions, Action{Kind: Finish, Query: ident.QueryID(q.handle), Answer: a})
 	if q.arrival.Key != "" && q.hasInFlight() {
--- a/core/node/fairness.go
+++ b/core/node/fairness.go
@@ -5,13 +5,14 @@
 
 	"carawaycross.example/carawaycross/core/container"
 	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/preset"
 	"carawaycross.example/carawaycross/core/view"
 )
 
 // minLowRankShare is the share of the slots that ranks below the first get at least while
-// they wait. With it, a class with up to two thirds of the requests is served at least a
-// quarter as often as all.
-const minLowRankShare ident.Share = 1.0 / 6
+// they wait. With it, a class is served at least a quarter as often as all: however many of
+// the requests it has if it is the only one that waits, half of them if two do.
+const minLowRankShare ident.Share = 0.25
 
 // queueFloor returns the floor of the low ranks in the queues of a view: none without
 // tenants.
@@ -22,6 +23,16 @@
 	return container.Floor{Share: minLowRankShare, Ranks: len(v.Preset.Classes)}
 }
 
+// A flowID identifies the requests that take turns in a queue as one flow. Without a rank
+// of its own, a tenant has one flow in each rank; with one, its classes have separate flows
+// there, so that its urgent requests do not wait behind its others.
+type flowID struct {
+	// tenant is empty for requests without a key.
+	tenant ident.TenantID
+	// class is the rank of the route, within the ranks of the preset.
+	class int
+}
+
 // fair reports whether the configuration has tenants, among which capacity is shared.
 func (c *Core) fair() bool { return c.view != nil && c.view.Tenants != nil }
 
@@ -31,10 +42,15 @@
 	if !c.fair() {
 		return
 	}
+	q.flow.class = clampRank(q.preset, q.arrival.Route.Rank)
 	if q.arrival.Account != nil {
-		q.flow = q.arrival.Account.ID
+		q.flow.tenant = q.arrival.Account.ID
 	}
-	c.tenants.See(now, q.flow)
+	c.tenants.See(now, q.flow.tenant)
+}
+
+func clampRank(p *preset.Preset, rank int) int {
+	return min(max(rank, 0), max(len(p.Classes)-1, 0))
 }
 
 // exceedsPlaces reports whether the tenant of a new query holds its share of the places
@@ -43,23 +59,23 @@
 	if !c.fair() {
 		return false
 	}
-	_, over := c.tenants.Over(now, q.flow, q.preset.QueriesInFlight)
+	_, over := c.tenants.Over(now, q.flow.tenant, q.preset.QueriesInFlight)
 	return over
 }
 
 // exceedsExtras reports whether the tenant of a query has spent its share of the extra
 // attempts to a service while few are left.
 func (c *Core) exceedsExtras(now ident.Instant, q *query, svc *service, hedge bool) bool {
-	if !c.fair() || !svc.hasQuota || !c.tenants.Contended(now, q.flow) {
+	if !c.fair() || !svc.hasQuota || !c.tenants.Contended(now, q.flow.tenant) {
 		return false
 	}
-	return svc.extras.Over(now, q.flow, svc.quota.Allowed(now, hedge))
+	return svc.extras.Over(now, q.flow.tenant, svc.quota.Allowed(now, hedge))
 }
 
 // countExtra counts n extra attempts of the tenant of a query.
 func (c *Core) countExtra(now ident.Instant, q *query, svc *service, n int) {
 	if c.fair() && svc.hasQuota {
-		svc.extras.Count(now, q.flow, svc.quota.CountedSpan(), n)
+		svc.extras.Count(now, q.flow.tenant, svc.quota.CountedSpan(), n)
 	}
 }
 
@@ -75,7 +91,7 @@
 			ahead = max(ahead, sh.queue.Ahead(q.rank, q.flow))
 		}
 	}
-	share, _ := c.tenants.Over(now, q.flow, q.preset.QueriesInFlight)
+	share, _ := c.tenants.Over(now, q.flow.tenant, q.preset.QueriesInFlight)
 	return fmt.Sprintf("; tenant %q, rank %d of %d, holds %d places of a share of %.0f, %d queued before its turn",
-		q.flow, q.rank, len(q.preset.Classes), c.tenants.Held(q.flow), share, ahead)
+		q.flow.tenant, q.rank, len(q.preset.Classes), c.tenants.Held(q.flow.tenant), share, ahead)
 }
--- a/core/node/passing.go
+++ b/core/node/passing.go
@@ -77,7 +77,7 @@
 	if t := q.arrival.Account; t != nil && t.Ranked {
 		rank = t.Rank
 	}
-	q.rank = min(max(rank, 0), max(len(p.Classes)-1, 0))
+	q.rank = clampRank(p, rank)
 	c.joinFlow(now, q)
 	q.allowedAttempts = min(max(r.Attempts, 1), preset.MaxAttempts)
 	if !q.repeatable() {
--- a/core/node/passing_world_test.go
+++ b/core/node/passing_world_test.go
@@ -14,6 +14,7 @@
 	"carawaycross.example/carawaycross/core/replica"
 	"carawaycross.example/carawaycross/core/retry"
 	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/tenant"
 	"carawaycross.example/carawaycross/core/view"
 )
 
@@ -61,9 +62,13 @@
 	ratePerSecond float64
 	serviceTime   time.Duration
 	deadline      time.Duration
+	// account is the tenant that sends the requests; nil without tenants.
+	account *tenant.Tenant
+	// failureShare of its attempts fail, besides those that the replica fails.
+	failureShare float64
 }
 
-// outcomeCounts counts the requests of a route by their outcome.
+// outcomeCounts counts the requests of a route or tenant by their outcome.
 type outcomeCounts struct {
 	arrived, inGoal, partial, late, refused, failed int
 	// value sums the squared coverage of the answers within the goal.
@@ -101,8 +106,12 @@
 	requests        map[ident.QueryID]*request
 	abortedAttempts map[ident.AttemptID]bool
 	outcomes        map[ident.RouteID]*outcomeCounts
-	// runs counts how often each request ran on each service.
+	// ofTenants has the outcomes by tenant and route.
+	ofTenants map[tenantRoute]*outcomeCounts
+	// runs counts how often each request ran on each service, and ran has the requests that
+	// ran on any.
 	runs map[string]int
+	ran  map[string]bool
 	// extraAttempts counts the retries and hedges per service.
 	extraAttempts map[ident.ServiceID]int
 	// firstSent holds each request and service for which an attempt was sent.
@@ -132,7 +141,7 @@
 		now: ident.Instant(time.Hour), random: rand.New(rand.NewPCG(seed, 7)),
 		services: map[ident.ServiceID][]*fakeReplica{}, byID: map[ident.ReplicaID]*fakeReplica{},
 		requests: map[ident.QueryID]*request{}, abortedAttempts: map[ident.AttemptID]bool{},
-		outcomes: map[ident.RouteID]*outcomeCounts{}, runs: map[string]int{}, extraAttempts: map[ident.ServiceID]int{}, firstSent: map[string]bool{},
+		outcomes: map[ident.RouteID]*outcomeCounts{}, ofTenants: map[tenantRoute]*outcomeCounts{}, runs: map[string]int{}, ran: map[string]bool{}, extraAttempts: map[ident.ServiceID]int{}, firstSent: map[string]bool{},
 	}
 	sim.core = node.New(node.Config{VM: "entry-0", Random: rand.New(rand.NewPCG(seed, 8)), Policies: policies})
 	p := preset.BuiltinDiscovery()[0]
@@ -217,10 +226,11 @@
 func (sim *routedSimulation) arrive(load *workload) {
 	sim.lastRequest++
 	req := &request{workload: load, arrivedAt: sim.now, messageID: fmt.Sprint("r", sim.lastRequest)}
-	o := sim.outcomes[load.route.Name]
-	o.arrived++
+	for _, o := range sim.countersOf(load) {
+		o.arrived++
+	}
 	id := sim.core.Arrive(sim.now, node.Arrival{
-		Route: load.route, Deadline: load.deadline, Message: &passage.Request{ID: req.messageID, Method: "GET"},
+		Route: load.route, Account: load.account, Deadline: load.deadline, Message: &passage.Request{ID: req.messageID, Method: "GET"},
 	})
 	sim.requests[id] = req
 	sim.executeActions()
@@ -293,12 +303,13 @@
 		return
 	}
 	sim.runs[key]++
+	sim.ran[a.Message.ID] = true
 	done := sim.serve(r, a)
 	reply := node.Reply{Outcome: replica.OK, Message: &passage.Reply{Status: 200, Digest: "d"}}
 	switch draw := sim.random.Float64(); {
 	case draw < r.lossShare:
 		reply = node.Reply{Outcome: replica.Broken}
-	case draw < r.lossShare+r.failureShare:
+	case draw < r.lossShare+r.failureShare+sim.requests[a.Query].workload.failureShare:
 		reply = node.Reply{Outcome: replica.Failed, Message: &passage.Reply{Status: 500, Digest: "d"}}
 	}
 	sim.scheduleReply(a, done.Add(networkDelay), reply)
@@ -350,14 +361,34 @@
 
 func (sim *routedSimulation) finish(a node.Action) {
 	req := sim.requests[a.Query]
-	sim.count(req, a.Answer)
+	req.answers++
+	for _, o := range sim.countersOf(req.workload) {
+		sim.count(o, req, a.Answer)
+	}
+}
+
+// A tenantRoute is the load of one tenant on one route.
+type tenantRoute struct {
+	tenant ident.TenantID
+	route  ident.RouteID
+}
+
+// countersOf returns the counts to which the outcomes of a workload are added.
+func (sim *routedSimulation) countersOf(load *workload) []*outcomeCounts {
+	counters := []*outcomeCounts{sim.outcomes[load.route.Name]}
+	if load.account != nil {
+		key := tenantRoute{load.account.ID, load.route.Name}
+		if sim.ofTenants[key] == nil {
+			sim.ofTenants[key] = &outcomeCounts{}
+		}
+		counters = append(counters, sim.ofTenants[key])
+	}
+	return counters
 }
 
 // count records the outcome of a request. It checks that a request refused as not run did
 // not run, and that a request that is not repeatable ran at most once.
-func (sim *routedSimulation) count(req *request, a *node.Answer) {
-	req.answers++
-	o := sim.outcomes[req.workload.route.Name]
+func (sim *routedSimulation) count(o *outcomeCounts, req *request, a *node.Answer) {
 	took := sim.now.Sub(req.arrivedAt)
 	switch {
 	case a.Refusal == nil:
@@ -377,10 +408,8 @@
 			o.minRetryAfter = a.Refusal.RetryAfter
 		}
 		o.refusalTime += took
-		for key, n := range sim.runs {
-			if n > 0 && len(key) > len(req.messageID) && key[:len(req.messageID)+1] == req.messageID+" " {
-				sim.failures = append(sim.failures, req.messageID+" ran but was refused as not run")
-			}
+		if sim.ran[req.messageID] {
+			sim.failures = append(sim.failures, req.messageID+" ran but was refused as not run")
 		}
 	default:
 		o.failed++
--- a/core/node/query.go
+++ b/core/node/query.go
@@ -100,9 +100,8 @@
 	target *route.Target
 	preset *preset.Preset
 	rank   int
-	// flow is the tenant whose share the query uses. It is empty for requests without a
-	// key, which share one flow.
-	flow     ident.TenantID
+	// flow is the flow whose share the query uses; zero without tenants.
+	flow     flowID
 	started  ident.Instant
 	deadline ident.Instant
 	// wantedCoverage ends the query early; leastCoverage is the least that is answered
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -22,8 +22,7 @@
 
 type shard struct {
 	replica.Shard
-	// queue has the tenants as flows.
-	queue *container.FairQueue[ident.TenantID, queuedPart]
+	queue *container.FairQueue[flowID, queuedPart]
 	// timerPending is true while a queueTimer of the shard is pending.
 	timerPending bool
 }
@@ -160,7 +159,7 @@
 	if sh == nil {
 		sh = &shard{
 			Shard: replica.Shard{ID: id},
-			queue: container.NewFairQueue[ident.TenantID, queuedPart](queueLength, ranks),
+			queue: container.NewFairQueue[flowID, queuedPart](queueLength, ranks),
 		}
 		s.shards[id] = sh
 		s.shardOrder = append(s.shardOrder, id)
