--- a/core/container/fairqueue_test.go
+++ b/core/container/fairqueue_test.go
@@ -178,6 +178,67 @@
 	})
 }
 
+// TestSparseFlowComesBeforeThoseThatHadTheirTurn answers a single value of a flow that comes
+// while others always wait: it leaves before any value of a flow that had its turn in this
+// round.
+func TestSparseFlowComesBeforeThoseThatHadTheirTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		flows := rapid.IntRange(2, 6).Draw(t, "flows")
+		q := NewFairQueue[int, int](1000, 1)
+		for range 20 {
+			for flow := range flows {
+				q.Push(0, flow, flow)
+			}
+		}
+		hadTurn := rapid.IntRange(1, flows).Draw(t, "flows that had their turn")
+		for range flows*rapid.IntRange(0, 3).Draw(t, "rounds") + hadTurn {
+			q.Pop()
+			q.Charge()
+		}
+		q.Push(0, flows, flows)
+		for got := 0; ; got++ {
+			flow, _ := q.Pop()
+			q.Charge()
+			if flow == flows {
+				return
+			}
+			if flow < hadTurn && hadTurn < flows {
+				t.Fatalf("flow %d, which had its turn, is before the sparse one", flow)
+			}
+			if got >= flows {
+				t.Fatalf("%d values left before the sparse one", got)
+			}
+		}
+	})
+}
+
+// TestAheadOfLowRank checks Ahead of a rank that waits behind more of higher ones than the
+// floor lets pass.
+func TestAheadOfLowRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewFairQueue[string, int](1000, 4)
+		q.SetFloor(Floor{Share: 0.25, Ranks: 3})
+		for range 200 {
+			q.Push(0, "", 0)
+		}
+		for range rapid.IntRange(0, 10).Draw(t, "queued") {
+			q.Push(1, "", 0)
+		}
+		want := q.Ahead(1, "")
+		q.Push(1, "", 1)
+		for got := 0; ; got++ {
+			v, _ := q.Pop()
+			q.Charge()
+			if v == 1 {
+				if got < want-1 || got > want+1 {
+					t.Fatalf("%d values left before the new one, expected %d", got, want)
+				}
+				return
+			}
+		}
+	})
+}
+
 // TestFloorKeepsLowRanksFromStarving answers high ranks that alone exceed the capacity:
 // lower ones get their part of the turns and of the places, and no more than the floor
 // beyond what the high rank leaves.
--- a/core/fairness/fairness_test.go
+++ b/core/fairness/fairness_test.go
@@ -122,6 +122,10 @@
 		if want := 75 - others; spent < want-1 || spent > want {
 			t.Fatalf("the flood spent %d, expected %d", spent, want)
 		}
+		e.Count(now, "flood", span, -1)
+		if e.Over(now, "flood", allowed) {
+			t.Fatal("an attempt that was refunded counts")
+		}
 		if e.Over(now, "a", allowed) || e.Over(now, "c", allowed) {
 			t.Fatal("a modest tenant gets no extra attempt")
 		}
--- a/core/node/fairness_test.go
+++ b/core/node/fairness_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +39,14 @@
 }
 
 func (l tenantLoad) run(seed uint64) *routedSimulation {
+	sim, loads := l.start(seed)
+	sim.runLoads(loads...)
+	return sim
+}
+
+// start returns the simulation and its workloads: of each tenant urgent, fuzzy and, if any,
+// archive requests.
+func (l tenantLoad) start(seed uint64) (*routedSimulation, []*workload) {
 	sim := newRoutedSimulation(seed, node.Routed(), 6, 3, 4)
 	accounts := make([]tenant.Tenant, l.tenants)
 	for i := range accounts {
@@ -78,8 +87,7 @@
 			}
 		}
 	}
-	sim.runLoads(loads...)
-	return sim
+	return sim, loads
 }
 
 // served returns the share of the requests of a tenant that got an answer.
@@ -136,6 +144,39 @@
 	checkModestTenants(t, tenantLoad{tenants: 6, rate: 15, hotFailures: 0.7, failures: 0.02})
 }
 
+// TestRetryAfterIsTheTurnOfTheTenant answers refusals while the requests of a hot tenant
+// fill the queues: each caller is asked to return when its own tenant's turn comes, and the
+// log says whose turn it was.
+func TestRetryAfterIsTheTurnOfTheTenant(t *testing.T) {
+	sim, loads := tenantLoad{tenants: 2, rate: 10}.start(1)
+	sim.runLoads(loads...)
+	hot, modest := *loads[1], *loads[3]
+	for range 60 {
+		sim.arrive(&hot)
+	}
+	// No slot is free: requests without time to wait are refused.
+	hot.deadline, modest.deadline = time.Millisecond, time.Millisecond
+	sim.arrive(&hot)
+	sim.arrive(&modest)
+	ofHot, ofModest := sim.ofTenants[tenantRoute{"t0", "fuzzy"}], sim.ofTenants[tenantRoute{"t1", "fuzzy"}]
+	t.Logf("hot: %v, %s", ofHot.minRetryAfter, ofHot.detail)
+	t.Logf("modest: %v, %s", ofModest.minRetryAfter, ofModest.detail)
+	if ofModest.refused != 1 || ofHot.refused != 1 || ofModest.minRetryAfter >= ofHot.minRetryAfter {
+		t.Errorf("%d refusals with Retry-After %v of the modest tenant, %d with %v of the hot one",
+			ofModest.refused, ofModest.minRetryAfter, ofHot.refused, ofHot.minRetryAfter)
+	}
+	for _, want := range []string{`tenant "t0"`, "rank 1 of 3", "holds 60 places", "48 queued before its turn"} {
+		if !strings.Contains(ofHot.detail, want) {
+			t.Errorf("the refusal's detail %q lacks %q", ofHot.detail, want)
+		}
+	}
+	if want := " 1 queued before its turn"; !strings.Contains(ofModest.detail, want) {
+		t.Errorf("the refusal's detail %q lacks %q", ofModest.detail, want)
+	}
+	sim.run()
+	sim.reportFailures(t)
+}
+
 // TestClassesUnderContention answers more load of all tenants than the replicas can serve:
 // the more urgent class is served better, and the last one does not starve.
 func TestClassesUnderContention(t *testing.T) {
--- a/core/node/passing_world_test.go
+++ b/core/node/passing_world_test.go
@@ -77,6 +77,8 @@
 	refusalTime time.Duration
 	// minRetryAfter is the shortest Retry-After of a refusal.
 	minRetryAfter time.Duration
+	// detail is that of the last refusal.
+	detail string
 }
 
 // meanValue returns the mean value of a request: the squared coverage of its answer, or 0
@@ -408,6 +410,7 @@
 			o.minRetryAfter = a.Refusal.RetryAfter
 		}
 		o.refusalTime += took
+		o.detail = a.Refusal.Detail
 		if sim.ran[req.messageID] {
 			sim.failures = append(sim.failures, req.messageID+" ran but was refused as not run")
 		}
