--- a/core/fairness/fairness.go
+++ b/core/fairness/fairness.go
@@ -4,6 +4,7 @@
 package fairness
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -104,7 +105,7 @@
 // capacity, while no more than the Reserve is free and other tenants are active. It also
 // returns that share.
 func (p *Places[K]) Over(now ident.Instant, k K, capacity int) (share float64, over bool) {
-	usable := float64(capacity) * float64(1-Reserve)
+	usable := math.Floor(float64(capacity) * float64(1-Reserve))
 	total := 0
 	p.buf = p.buf[:0]
 	for other, h := range p.holders {
--- a/core/node/fairness_test.go
+++ b/core/node/fairness_test.go
@@ -25,8 +25,7 @@
 	// least urgent ones.
 	archiveRate float64
 	hot         bool
-	// hotRank is the rank that the hot tenant has on all routes, if it is ranked.
-	hotRank   int
+	// hotRanked is true if the hot tenant has the first rank on all routes.
 	hotRanked bool
 	// hotFailures is the share of the attempts of the hot tenant that fail.
 	hotFailures float64
@@ -52,7 +51,7 @@
 	for i := range accounts {
 		accounts[i].ID = ident.TenantID(fmt.Sprint("t", i))
 	}
-	accounts[0].Rank, accounts[0].Ranked = l.hotRank, l.hotRanked
+	accounts[0].Ranked = l.hotRanked
 	sim.view.Tenants = tenant.NewTable(accounts)
 	if l.places > 0 {
 		sim.view.Preset.QueriesInFlight = l.places
@@ -105,7 +104,7 @@
 const maxMove = 0.02
 
 // checkModestTenants runs a load with and without its hot tenant and checks that what the
-// other tenants are served hardly moves. It returns both runs.
+// other tenants are served hardly moves.
 func checkModestTenants(t *testing.T, load tenantLoad) {
 	t.Helper()
 	for seed := range uint64(3) {
