node: a request that ran out of time in a queue says whose turn it was

Its detail ended with the reason of the first missing part, so that an operator could not tell a flooding tenant from too few slots.

--- a/core/node/passing.go
+++ b/core/node/passing.go
@@ -351,6 +351,7 @@
 	switch {
 	case now >= q.deadline || first == coverage.DeadlineExceeded:
 		reason = DeadlinePassed
+		detail += c.shareDetail(now, q)
 	case first == coverage.Failed || first == coverage.UpstreamLost:
 		reason = upstreamFailed
 	case first == coverage.Overload:
