fairness, node: leave extra attempts to the higher ranks when they are short

Cause: retries that wait for the quota are tried again every 10 ms, so that the class with the longest deadline gets most of them.

With tenants, the lowest rank leaves a quarter of the extra attempts to the first.

--- a/core/fairness/fairness.go
+++ b/core/fairness/fairness.go
@@ -29,6 +29,19 @@
 	return max(capacity, 0)
 }
 
+// lowestRankLeaves is the part of a capacity that the lowest rank leaves to those above.
+const lowestRankLeaves ident.Share = 0.25
+
+// OfRank returns the part of a capacity that a rank may use: all of it for rank 0, falling
+// linearly to that of the lowest. What is spent cannot be taken back from a low rank, so it
+// is left to the higher ones beforehand.
+func OfRank(rank, ranks int) ident.Share {
+	if ranks <= 1 {
+		return 1
+	}
+	return 1 - lowestRankLeaves*ident.Share(rank)/ident.Share(ranks-1)
+}
+
 // activeFor is how long a tenant counts as active after its last request.
 const activeFor = 10 * time.Second
 
--- a/core/node/fairness.go
+++ b/core/node/fairness.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/fairness"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/preset"
 	"carawaycross.example/carawaycross/core/view"
@@ -64,12 +65,13 @@
 }
 
 // exceedsExtras reports whether the tenant of a query has spent its share of the extra
-// attempts to a service while few are left.
+// attempts to a service while few are left for its rank.
 func (c *Core) exceedsExtras(now ident.Instant, q *query, svc *service, hedge bool) bool {
 	if !c.fair() || !svc.hasQuota || !c.tenants.Contended(now, q.flow.tenant) {
 		return false
 	}
-	return svc.extras.Over(now, q.flow.tenant, svc.quota.Allowed(now, hedge))
+	allowed := svc.quota.Allowed(now, hedge) * float64(fairness.OfRank(q.rank, len(q.preset.Classes)))
+	return svc.extras.Over(now, q.flow.tenant, allowed)
 }
 
 // countExtra counts n extra attempts of the tenant of a query.
--- a/core/node/fairness_test.go
+++ b/core/node/fairness_test.go
@@ -197,6 +197,29 @@
 	}
 }
 
+// TestRetriesOfClassesUnderContention answers more failures than the quota has retries for:
+// the more urgent class gets more of them, though the others have more time to wait for one.
+func TestRetriesOfClassesUnderContention(t *testing.T) {
+	for seed := range uint64(3) {
+		sim := tenantLoad{tenants: 6, rate: 15, archiveRate: 5, failures: 0.3}.run(seed)
+		sim.reportFailures(t)
+		var all outcomeCounts
+		share := func(r ident.RouteID) float64 {
+			o := sim.outcomes[r]
+			all.add(o)
+			return float64(o.inGoal+o.late) / float64(o.arrived)
+		}
+		urgent, fuzzy, archive := share("urgent"), share("fuzzy"), share("archive")
+		t.Logf("seed %d: served: urgent %.3f, fuzzy %.3f, archive %.3f", seed, urgent, fuzzy, archive)
+		if archive < float64(all.inGoal+all.late)/float64(all.arrived)/4 {
+			t.Errorf("seed %d: the archive is served %.3f, less than a quarter as often as all (%+v)", seed, archive, all)
+		}
+		if urgent < fuzzy || fuzzy < archive {
+			t.Errorf("seed %d: a less urgent class is served better: urgent %.3f, fuzzy %.3f, archive %.3f", seed, urgent, fuzzy, archive)
+		}
+	}
+}
+
 // TestHotTenantOfTheFirstRank answers a hot tenant whose priority is above that of the
 // others and that alone wants more than all slots: the others do not starve.
 func TestHotTenantOfTheFirstRank(t *testing.T) {
