--- a/core/node/core.go
+++ b/core/node/core.go
@@ -92,6 +92,8 @@
 	profiles map[ident.RouteID]*profile
 	splits   route.Splits
 	recent   requestCounts
+	// tenants records the admitted queries by tenant, once the configuration has tenants.
+	tenants fairness.Places[ident.TenantID]
 	// departures outlive the states of replicas that are no longer listed.
 	departures replica.Departures
 	// resumedAt is when the VM last continued after a stall.
@@ -115,8 +117,6 @@
 	freeQueries []*query
 	// inFlight counts the admitted queries that are not answered.
 	inFlight int
-	// tenants records the admitted queries by tenant, once the configuration has tenants.
-	tenants fairness.Places[ident.TenantID]
 }
 
 // New returns a Core without a view. It refuses requests until Install is called.
@@ -199,7 +199,6 @@
 		return ident.QueryID(h)
 	}
 	c.inFlight++
-	c.tenants.Take(q.flow.tenant)
 	q.admitted = true
 	c.timers.Add(q.deadline, timer{kind: deadlineTimer, query: h})
 	if a.Key != "" {
@@ -397,6 +396,7 @@
 // finish emits the answer. It releases the query unless it is a booking with an attempt
 // in flight.
 func (c *Core) finish(now ident.Instant, q *query, a *Answer) {
+	c.leaveFlow(q)
 	a.Took = now.Sub(q.started)
 	a.FirstAttempts, a.ExtraAttempts = q.firstAttempts, q.extraAttempts
 	if q.preset != nil {
@@ -408,7 +408,6 @@
 	q.answered = true
 	if q.admitted {
 		c.inFlight--
-		c.tenants.Release(q.flow.tenant)
 	}
 	c.actions = append(c.actions, Action{Kind: Finish, Query: ident.QueryID(q.handle), Answer: a})
 	if q.arrival.Key != "" && q.hasInFlight() {
--- a/core/node/fairness.go
+++ b/core/node/fairness.go
@@ -50,6 +50,13 @@
 	c.tenants.See(now, q.flow.tenant)
 }
 
+// leaveFlow gives back the place of a query that is answered.
+func (c *Core) leaveFlow(q *query) {
+	if q.admitted && q.arrival.Route != nil {
+		c.tenants.Release(q.flow.tenant)
+	}
+}
+
 func clampRank(p *preset.Preset, rank int) int {
 	return min(max(rank, 0), max(len(p.Classes)-1, 0))
 }
--- a/core/node/passing.go
+++ b/core/node/passing.go
@@ -135,6 +135,7 @@
 	}
 	reason := c.policies.Admit.Decide(r)
 	if reason == admission.Admitted {
+		c.tenants.Take(q.flow.tenant)
 		return reason, ""
 	}
 	return reason, fmt.Sprintf("%d in flight, a wait of %v, then %v; %v left", r.InFlight, r.Wait, r.AttemptLatency, r.Left) +
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -116,9 +116,12 @@
 			}
 		}
 		s.updateReplica(now, v, vs, vr, r)
-		sh := s.shard(vr.Shard, v)
+		sh := s.shard(vr.Shard, v.Preset.QueueLength, len(v.Preset.Classes))
 		sh.Replicas = append(sh.Replicas, r)
 	}
+	for _, sh := range s.shards {
+		sh.queue.SetFloor(queueFloor(v))
+	}
 }
 
 func (s *service) updateReplica(now ident.Instant, v *view.View, vs *view.Service, vr *view.Replica, r *replica.State) {
@@ -153,8 +156,8 @@
 
 // shard returns the shard with the ID and creates it on first use. Its queue has one level
 // for each rank, and one behind them for deferred parts.
-func (s *service) shard(id ident.ShardID, v *view.View) *shard {
-	queueLength, ranks := v.Preset.QueueLength, len(v.Preset.Classes)+1
+func (s *service) shard(id ident.ShardID, queueLength, ranks int) *shard {
+	ranks++
 	sh := s.shards[id]
 	if sh == nil {
 		sh = &shard{
@@ -165,7 +168,6 @@
 		s.shardOrder = append(s.shardOrder, id)
 	}
 	sh.queue.Resize(queueLength, ranks)
-	sh.queue.SetFloor(queueFloor(v))
 	return sh
 }
 
--- a/shape_test.go
+++ b/shape_test.go
@@ -17,9 +17,9 @@
 // decisionPackages hold the decisions. They compute on values alone: without input or
 // output, clocks, goroutines and global random sources.
 var decisionPackages = []string{
-	"ident", "policy", "container", "preset", "config", "snapshot", "coverage", "replica",
+	"ident", "policy", "container", "fairness", "preset", "config", "snapshot", "coverage", "replica",
 	"retry", "admission", "poison", "booking", "view", "node", "roster", "news", "control",
-	"route", "passage", "merge", "catalogue", "tenant", "fairness",
+	"route", "passage", "merge", "catalogue", "tenant",
 }
 
 // allowedImports are the packages that a decision package may import besides other
