fairness: share hedges by what was wanted, retries by rank and reserve

Hedges and retries are counted apart. A hedge is held back only for what higher ranks and other tenants wanted in the last window; retries keep the reserve and the part for higher ranks.

Taken out one at a time on a scratch copy: share and rank of retries, their reserve, tenants' share of hedges fail a test; that core/node asks for the shares of hedges, and the refund of unsent attempts, do not.

--- a/core/fairness/fairness.go
+++ b/core/fairness/fairness.go
@@ -8,12 +8,11 @@
 	"slices"
 	"time"
 
-	"carawaycross.example/carawaycross/core/container"
 	"carawaycross.example/carawaycross/core/ident"
 )
 
-// Reserve is the part of a capacity that only tenants below their share may use, so that
-// they find room when another tenant holds all the rest.
+// Reserve is the part of a capacity that is left when it becomes scarce. Shares bind only
+// then.
 const Reserve ident.Share = 0.25
 
 // Share returns the max-min fair share of a claimant that wants as much as it can get,
@@ -29,19 +28,6 @@
 	return max(capacity, 0)
 }
 
-// lowestRankLeaves is the part of a capacity that the lowest rank leaves to those above.
-const lowestRankLeaves ident.Share = 0.25
-
-// OfRank returns the part of a capacity that a rank may use: all of it for rank 0, falling
-// linearly to that of the lowest. What is spent cannot be taken back from a low rank, so it
-// is left to the higher ones beforehand.
-func OfRank(rank, ranks int) ident.Share {
-	if ranks <= 1 {
-		return 1
-	}
-	return 1 - lowestRankLeaves*ident.Share(rank)/ident.Share(ranks-1)
-}
-
 // activeFor is how long a tenant counts as active after its last request.
 const activeFor = 10 * time.Second
 
@@ -133,54 +119,3 @@
 	share = Share(usable, p.buf)
 	return share, float64(p.Held(k)+1) > share
 }
-
-// Extras counts the extra attempts of each tenant in a window. The zero value is empty and
-// ready for use.
-type Extras[K comparable] struct {
-	// spent has an entry for each tenant with an extra attempt in the last Span, and others
-	// until they are swept.
-	spent map[K]*container.Window[int]
-	swept ident.Instant
-	buf   []float64
-}
-
-// Count counts n extra attempts of a tenant; n is negative for attempts that are refunded.
-func (e *Extras[K]) Count(now ident.Instant, k K, span time.Duration, n int) {
-	if e.spent == nil {
-		e.spent = map[K]*container.Window[int]{}
-	}
-	if now.Sub(e.swept) > span {
-		e.swept = now
-		for other, w := range e.spent {
-			if w.Sum(now) <= 0 {
-				delete(e.spent, other)
-			}
-		}
-	}
-	w := e.spent[k]
-	if w == nil || w.Span != span {
-		w = &container.Window[int]{Span: span}
-		e.spent[k] = w
-	}
-	if w.Sum(now)+n >= 0 {
-		w.Add(now, n)
-	}
-}
-
-// Over reports whether a tenant that wants one more extra attempt has spent its share of
-// the allowed ones beside other active tenants. It is false while more than the Reserve
-// remains.
-func (e *Extras[K]) Over(now ident.Instant, k K, allowed float64) bool {
-	own := 0
-	e.buf = e.buf[:0]
-	for other, w := range e.spent {
-		n := w.Sum(now)
-		switch {
-		case other == k:
-			own = n
-		case n > 0:
-			e.buf = append(e.buf, float64(n))
-		}
-	}
-	return float64(own+1) > Share(allowed*float64(1-Reserve), e.buf)
-}
--- a/core/fairness/fairness_test.go
+++ b/core/fairness/fairness_test.go
@@ -79,27 +79,64 @@
 	})
 }
 
-// TestExtrasUnderFlood answers a tenant whose attempts all fail: it spends what the others
-// leave of the allowed extra attempts, but not the reserve.
-func TestExtrasUnderFlood(t *testing.T) {
+const allowed, span = 100, 10 * time.Second
+
+type claim = fairness.Claim[string]
+
+// TestHedgesUnderFlood answers a tenant that wants a hedge for each request: it gets what
+// the modest tenant, or its own more urgent class, did not want in the last window.
+func TestHedgesUnderFlood(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var e fairness.Extras[string]
+		e.SetSpan(span)
+		spendAll := func(at ident.Instant, c claim) (n int) {
+			for ; e.Spent(at) < allowed && !e.OverWanted(at, c, allowed); n++ {
+				e.Spend(at, c)
+			}
+			return n
+		}
+		flood := claim{"flood", 1, 3}
+		modest := rapid.SampledFrom([]claim{{"a", 0, 3}, {"a", 1, 3}, {"flood", 0, 3}}).Draw(t, "modest")
+		wanted := rapid.IntRange(0, 24).Draw(t, "wanted by the modest tenant")
+		for range wanted {
+			e.Want(now, modest)
+		}
+		if n := spendAll(now, flood); n != allowed-wanted {
+			t.Fatalf("the flood spent %d, expected %d", n, allowed-wanted)
+		}
+		if n := spendAll(now, modest); n != wanted {
+			t.Fatalf("the modest tenant spent %d, expected %d", n, wanted)
+		}
+		if n := spendAll(now.Add(2*span), claim{"flood", 2, 3}); n != allowed {
+			t.Fatalf("the flood spent %d after others ceased to want any", n)
+		}
+	})
+}
+
+// TestRetriesUnderFlood answers a tenant whose attempts all fail: it spends what others
+// leave of the allowed retries, but not the reserve, and less of them at a lower rank.
+func TestRetriesUnderFlood(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const allowed, span = 100, 10 * time.Second
 		var e fairness.Extras[string]
-		others := rapid.IntRange(0, 20).Draw(t, "others")
-		e.Count(now, "a", span, others)
-		spent := 0
-		for ; !e.Over(now, "flood", allowed); spent++ {
-			e.Count(now, "flood", span, 1)
+		e.SetSpan(span)
+		modest, rank := claim{"a", 0, 3}, rapid.IntRange(0, 2).Draw(t, "rank")
+		flood := claim{"flood", rank, 3}
+		others, spent := rapid.IntRange(0, 20).Draw(t, "others"), 0
+		for range others {
+			e.Spend(now, modest)
+		}
+		for ; !e.OverReserve(now, flood, allowed); spent++ {
+			e.Spend(now, flood)
 		}
-		if want := 75 - others; spent != want {
+		if want := []int{75, 65, 56}[rank] - others; spent != want {
 			t.Fatalf("the flood spent %d, expected %d", spent, want)
 		}
-		if e.Over(now, "a", allowed) || e.Over(now, "b", allowed) {
-			t.Fatal("a modest tenant gets no extra attempt")
+		if e.OverReserve(now, modest, allowed) || e.OverReserve(now, claim{"b", 2, 3}, allowed) {
+			t.Fatal("a modest tenant gets no retry")
 		}
-		e.Count(now, "flood", span, -1)
-		if e.Over(now, "flood", allowed) || e.Over(now.Add(2*span), "b", 2) {
-			t.Fatal("refunded attempts, or those before the window, count")
+		e.Refund(now, flood)
+		if e.OverReserve(now, flood, allowed) || e.OverReserve(now.Add(2*span), claim{"b", 0, 3}, 2) {
+			t.Fatal("attempts that were refunded, or before the window, count")
 		}
 	})
 }
--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -69,7 +69,7 @@
 	if !hedge && p.svc.hasQuota && p.svc.quota.BelowReserve(now, q.quotaReserve()) && !q.requires(p) {
 		return false
 	}
-	if c.exceedsExtras(now, q, p.svc, hedge) {
+	if c.exceedsExtras(now, q, p, hedge) {
 		return false
 	}
 	input := SpendInput{Now: now, Budget: p.svc.budget(q.rank), Hedge: hedge}
@@ -79,7 +79,7 @@
 	if !c.policies.Spend.Decide(input) {
 		return false
 	}
-	c.countExtra(now, q, p.svc, 1)
+	c.countExtra(now, q, p.svc, hedge)
 	return true
 }
 
--- a/core/node/fairness.go
+++ b/core/node/fairness.go
@@ -71,20 +71,49 @@
 	return over
 }
 
-// exceedsExtras reports whether the tenant of a query has spent its share of the extra
-// attempts to a service while few are left for its rank.
-func (c *Core) exceedsExtras(now ident.Instant, q *query, svc *service, hedge bool) bool {
-	if !c.fair() || !svc.hasQuota || !c.tenants.Contended(now, q.flow.tenant) {
+// sharesExtras reports whether the tenants share the extra attempts to a service.
+func (c *Core) sharesExtras(svc *service) bool { return c.fair() && svc.hasQuota }
+
+func (q *query) claim() fairness.Claim[ident.TenantID] {
+	return fairness.Claim[ident.TenantID]{Tenant: q.flow.tenant, Rank: q.rank, Ranks: len(q.preset.Classes)}
+}
+
+// exceedsExtras reports whether another attempt of a part exceeds what the rank and the
+// tenant of the query get of the extra attempts to the service.
+func (c *Core) exceedsExtras(now ident.Instant, q *query, p *part, hedge bool) bool {
+	svc := p.svc
+	if !c.sharesExtras(svc) {
 		return false
 	}
-	allowed := svc.quota.Allowed(now, hedge) * float64(fairness.OfRank(q.rank, len(q.preset.Classes)))
-	return svc.extras.Over(now, q.flow.tenant, allowed)
+	svc.hedges.SetSpan(svc.quota.CountedSpan())
+	svc.retries.SetSpan(svc.quota.CountedSpan())
+	allowed := svc.quota.Allowed(now, hedge)
+	if !hedge {
+		return c.tenants.Contended(now, q.flow.tenant) &&
+			svc.retries.OverReserve(now, q.claim(), allowed-float64(svc.hedges.Spent(now)))
+	}
+	if p.hedgeWantedAfter < p.attemptCount {
+		p.hedgeWantedAfter = p.attemptCount
+		svc.hedges.Want(now, q.claim())
+	}
+	return svc.hedges.OverWanted(now, q.claim(), allowed-float64(svc.retries.Spent(now)))
+}
+
+// countExtra records an extra attempt that is sent.
+func (c *Core) countExtra(now ident.Instant, q *query, svc *service, hedge bool) {
+	switch {
+	case !c.sharesExtras(svc):
+	case hedge:
+		svc.hedges.Spend(now, q.claim())
+	default:
+		svc.retries.Spend(now, q.claim())
+	}
 }
 
-// countExtra counts n extra attempts of the tenant of a query.
-func (c *Core) countExtra(now ident.Instant, q *query, svc *service, n int) {
-	if c.fair() && svc.hasQuota {
-		svc.extras.Count(now, q.flow.tenant, svc.quota.CountedSpan(), n)
+// refundExtra takes back an attempt that reached no replica.
+func (c *Core) refundExtra(now ident.Instant, q *query, svc *service) {
+	if c.sharesExtras(svc) {
+		svc.retries.Refund(now, q.claim())
 	}
 }
 
--- a/core/node/passing.go
+++ b/core/node/passing.go
@@ -286,7 +286,7 @@
 		q.failureReply = reply.Message
 	case replica.Unsent:
 		p.svc.quota.Refund(now)
-		c.countExtra(now, q, p.svc, -1)
+		c.refundExtra(now, q, p.svc)
 	case replica.Broken:
 		c.recordBroken(now, q, a)
 	default:
--- a/core/node/query.go
+++ b/core/node/query.go
@@ -43,6 +43,8 @@
 	// The first attemptCount entries of tried are the replicas of all attempts so far.
 	tried        [maxAttempts]*replica.State
 	attemptCount int
+	// hedgeWantedAfter is the attemptCount for which a hedge was last wanted.
+	hedgeWantedAfter int
 	// notRunCount counts the attempts that certainly did not run, and unsentCount those
 	// of them that reached no replica.
 	notRunCount, unsentCount int
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -37,8 +37,8 @@
 	// quota bounds the extra attempts if hasQuota is set; otherwise budgets do.
 	quota    retry.Quota
 	hasQuota bool
-	// extras counts the extra attempts of each tenant against the quota.
-	extras fairness.Extras[ident.TenantID]
+	// hedges and retries share the quota among ranks and tenants.
+	hedges, retries fairness.Extras[ident.TenantID]
 	// distinctStarts is view.Service.DistinctStarts.
 	distinctStarts bool
 	// budgets are indexed by the rank of the class.
