--- a/core/node/core.go
+++ b/core/node/core.go
@@ -7,6 +7,7 @@
 	"carawaycross.example/carawaycross/core/admission"
 	"carawaycross.example/carawaycross/core/booking"
 	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/fairness"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/poison"
 	"carawaycross.example/carawaycross/core/replica"
@@ -96,6 +97,8 @@
 	profiles map[ident.RouteID]*profile
 	splits   route.Splits
 	recent   requestCounts
+	// tenants records the admitted queries by tenant, once the configuration has tenants.
+	tenants fairness.Places[ident.TenantID]
 	// departures outlive the states of replicas that are no longer listed.
 	departures replica.Departures
 	// resumedAt is when the VM last continued after a stall.
@@ -298,8 +301,8 @@
 	var wait time.Duration
 	queueFull := false
 	for _, sh := range q.svc.shards {
-		wait = max(wait, sh.EstimateWait(now, sh.queue.Ahead(q.rank), median))
-		queueFull = queueFull || !sh.queue.CanPush(q.rank)
+		wait = max(wait, sh.EstimateWait(now, sh.queue.Ahead(q.rank, q.flow), median))
+		queueFull = queueFull || !sh.queue.CanPush(q.rank, q.flow)
 	}
 	return c.policies.Admit.Decide(admission.Request{
 		Rank: q.rank, Ranks: len(q.preset.Classes),
@@ -414,6 +417,7 @@
 // finish emits the answer. It releases the query unless it is a booking with an attempt
 // in flight.
 func (c *Core) finish(now ident.Instant, q *query, a *Answer) {
+	c.leaveFlow(q)
 	a.Took = now.Sub(q.started)
 	a.FirstAttempts, a.ExtraAttempts = q.firstAttempts, q.extraAttempts
 	if q.preset != nil {
--- a/core/node/query.go
+++ b/core/node/query.go
@@ -43,6 +43,8 @@
 	// The first attemptCount entries of tried are the replicas of all attempts so far.
 	tried        [maxAttempts]*replica.State
 	attemptCount int
+	// hedgeWantedAfter is the attemptCount for which a hedge was last wanted.
+	hedgeWantedAfter int
 	// notRunCount counts the attempts that certainly did not run, and unsentCount those
 	// of them that reached no replica.
 	notRunCount, unsentCount int
@@ -97,9 +99,11 @@
 	profile *profile
 	// target is the target of the route that the query was assigned to; nil for a search or
 	// booking.
-	target   *route.Target
-	preset   *preset.Preset
-	rank     int
+	target *route.Target
+	preset *preset.Preset
+	rank   int
+	// flow is the flow whose share the query uses; zero without tenants.
+	flow     flowID
 	started  ident.Instant
 	deadline ident.Instant
 	// wantedCoverage ends the query early; leastCoverage is the least that is answered
