pace: the load on a replica that returns follows its replies

Cause: a replica that had just started got the limit of a warm one at once from every VM, 140 VMs with 3 attempts each against 4 slots and a queue of 24; the ramp of 1 ms per step limited nothing. A replica that could not be reached was left idle: while the others have no queue its failures count against it until they are forgotten.

Change: core/pace estimates the concurrency that a replica bears over all VMs from its replies: half of its slots at first, twice that per round of good replies, half after a bad one, additive growth from there. A VM uses its share, by tokens where that is below one request, first sends spread by rank. Shares.Paced replaces RampStep for discovered services; the ramp of 1 ms is gone, also from the tests that copied it. The first reply after a loss clears its failures.

--- a/core/catalogue/catalogue.go
+++ b/core/catalogue/catalogue.go
@@ -227,10 +227,6 @@
 // replica that refuses at random is not overloaded.
 const minInFlight = 3
 
-// rampStep is short enough to end the ramp of a replica after a loss immediately:
-// ColdRate already limits the requests to a cold replica.
-const rampStep = time.Millisecond
-
 // AddTo adds the catalogue to a view. The function rank returns the position of
 // this VM in the order of VMs for a replica.
 func (c *Catalogue) AddTo(v *view.View, limits retry.QuotaLimits, rank func(ident.ReplicaID) int) {
@@ -240,7 +236,7 @@
 	for _, s := range c.configuration.Services {
 		serviceIndex[s.ID] = len(v.Services)
 		v.Services = append(v.Services, view.Service{
-			ID: s.ID, Connections: s.Connections, QuotaLimits: limits, RampStep: rampStep, ColdRate: s.ColdRate,
+			ID: s.ID, Connections: s.Connections, QuotaLimits: limits, Paced: true, ColdRate: s.ColdRate,
 			MinInFlight: minInFlight, DistinctStarts: true,
 		})
 	}
@@ -251,7 +247,7 @@
 			i = len(v.Services)
 			serviceIndex[r.Service] = i
 			v.Services = append(v.Services, view.Service{
-				ID: r.Service, Connections: defaultConnections, QuotaLimits: limits, RampStep: rampStep, MinInFlight: minInFlight,
+				ID: r.Service, Connections: defaultConnections, QuotaLimits: limits, Paced: true, MinInFlight: minInFlight,
 				DistinctStarts: true,
 			})
 		}
--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -167,15 +167,7 @@
 }
 
 func (sh *shard) hasFreeSlot(now ident.Instant) bool {
-	if sh.Usable(now) == 0 {
-		return false
-	}
-	for _, r := range sh.Replicas {
-		if r.CanSend(now) {
-			return true
-		}
-	}
-	return false
+	return sh.Usable(now) > 0 && sh.CanSend(now)
 }
 
 func (c *Core) park(now ident.Instant, q *query, i int) {
--- a/core/node/crash_test.go
+++ b/core/node/crash_test.go
@@ -37,7 +37,7 @@
 	w.view = view.View{Self: "entry-0", Zone: "z0", Ready: true, Preset: preset.BuiltinDiscovery()[0], VMs: 1}
 	for _, id := range services {
 		vs := view.Service{
-			ID: id, Slots: 4, Connections: 100, RampStep: time.Millisecond, MinInFlight: 3, DistinctStarts: true,
+			ID: id, Slots: 4, Connections: 100, Paced: true, MinInFlight: 3, DistinctStarts: true,
 			QuotaLimits: retry.QuotaLimits{Ratio: 0.2, Allowance: 52, Span: 10 * time.Second},
 		}
 		for _, n := range []string{"a", "b", "c", "d", "e", "f"} {
--- a/core/node/passing_world_test.go
+++ b/core/node/passing_world_test.go
@@ -140,7 +140,7 @@
 	for i := range services {
 		id := ident.ServiceID(fmt.Sprintf("s%d", i))
 		vs := view.Service{
-			ID: id, Slots: slots, Connections: 100, RampStep: time.Millisecond, MinInFlight: 3,
+			ID: id, Slots: slots, Connections: 100, Paced: true, MinInFlight: 3,
 			QuotaLimits: retry.QuotaLimits{Ratio: 0.2, Allowance: 52, Span: 10 * time.Second},
 		}
 		for j := range replicas {
--- /dev/null
+++ b/core/node/recovery_test.go
@@ -0,0 +1,41 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"carawaycross.example/carawaycross/core/view"
+)
+
+// amongVMs makes the VM the last of n VMs in the order of each replica.
+func (c *troubleCase) amongVMs(n int) {
+	c.view.VMs = n
+	for i := range c.view.Services[0].Replicas {
+		c.view.Services[0].Replicas[i].Rank = n - 1
+	}
+	c.core.Install(c.now, c.view)
+}
+
+// TestNewReplicaIsPaced checks that a replica that is added while others serve, or that
+// starts under its ID again, gets nothing from the last of 140 VMs in its first moments and
+// its share after two seconds; and that one that a starting VM finds in service is not
+// limited.
+func TestNewReplicaIsPaced(t *testing.T) {
+	c := newTroubleCase(t, 2)
+	c.amongVMs(140)
+	if got := c.serves(20); got["a"] == 0 || got["b"] == 0 {
+		t.Fatalf("the replicas that were in service got %v", got)
+	}
+	c.now = c.now.Add(10 * time.Second)
+	c.install(func(s *view.Service) {
+		s.Replicas[0].Incarnation = 2
+		s.Replicas = append(s.Replicas, view.Replica{ID: "c", Incarnation: 1, Address: "x", Slots: 4, Rank: 139})
+	})
+	if got := c.serves(20); got["a"] > 0 || got["c"] > 0 || got["b"] != 20 {
+		t.Fatalf("right after two replicas started they got %v", got)
+	}
+	c.now = c.now.Add(2 * time.Second)
+	if got := c.serves(60); got["a"] < 5 || got["c"] < 5 {
+		t.Fatalf("two seconds later the replicas got %v", got)
+	}
+}
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -97,6 +97,7 @@
 		s.budgets = make([]retry.Budget, max(n, 1))
 	}
 	known := map[ident.ReplicaID]*replica.State{}
+	first := len(s.shards) == 0
 	for _, sh := range s.shards {
 		for _, r := range sh.Replicas {
 			known[r.ID] = r
@@ -113,6 +114,10 @@
 			}
 		}
 		s.updateReplica(now, v, vs, vr, r)
+		// A VM that has just started knows of no replica whether it has just started, too.
+		if r != known[vr.ID] && (!first || now < vr.ColdUntil) {
+			r.BeginPace(now)
+		}
 		sh := s.shard(vr.Shard, v.Preset.QueueLength, len(v.Preset.Classes))
 		sh.Replicas = append(sh.Replicas, r)
 	}
@@ -127,14 +132,11 @@
 	r.Shares = replica.Shares{
 		Slots: vs.Slots, Connections: vs.Connections,
 		VMs: v.VMs, Rank: vr.Rank, RampStep: v.Preset.RampStep, ColdRate: vs.ColdRate,
-		MinInFlight: vs.MinInFlight,
+		MinInFlight: vs.MinInFlight, Paced: vs.Paced,
 	}
 	if vr.Slots > 0 {
 		r.Shares.Slots = vr.Slots
 	}
-	if vs.RampStep > 0 {
-		r.Shares.RampStep = vs.RampStep
-	}
 	if vr.Leaving {
 		r.MarkLeaving(now)
 	} else {
--- a/core/node/trouble_test.go
+++ b/core/node/trouble_test.go
@@ -29,7 +29,7 @@
 	c := &troubleCase{t: t, now: ident.Instant(time.Hour)}
 	c.core = node.New(node.Config{VM: "entry-0", Random: rand.New(rand.NewPCG(1, 8)), Policies: node.Routed()})
 	s := view.Service{
-		ID: "s", Slots: 4, Connections: 100, RampStep: time.Millisecond, MinInFlight: 3, DistinctStarts: true,
+		ID: "s", Slots: 4, Connections: 100, Paced: true, MinInFlight: 3, DistinctStarts: true,
 		QuotaLimits: retry.QuotaLimits{Ratio: 0.2, Allowance: 100, Span: 10 * time.Second},
 	}
 	for i := range replicas {
--- a/core/replica/choice.go
+++ b/core/replica/choice.go
@@ -35,7 +35,7 @@
 // Eligible reports whether the attempt may be sent to r now.
 func (in *Selection) Eligible(r *State) bool {
 	return r.Usable(in.Now) && r.InFlight < r.Limit(in.Now)+in.overcommit(r) && r.coldRateAllows(in.Now) &&
-		in.Holds(r) && !in.tried(r)
+		in.Holds(r) && !in.tried(r) && in.paceAllows(r)
 }
 
 // overcommit returns how many attempts above its limit r may get. The connection
--- a/core/replica/hold.go
+++ b/core/replica/hold.go
@@ -12,11 +12,14 @@
 // Hold stops attempts at the replica for the time that it asked for, extended by up to
 // a quarter, so that the VMs that it refused together do not return together. The
 // factor spread is from 0 to 1. After the hold the replica gets one attempt at a time
-// until replies show that it has room.
+// until replies show that it has room; with Shares.Paced, a pace begins too.
 func (s *State) Hold(now ident.Instant, asked time.Duration, spread float64) {
 	extra := time.Duration(spread * float64(min(asked/4, maxHoldSpread)))
 	s.heldUntil = max(s.heldUntil, now.Add(asked+extra))
 	s.limit = 1
+	if s.Shares.Paced {
+		s.pace.Begin(s.heldUntil, s.paceShare())
+	}
 }
 
 // HeldUntil returns when the first replica of the shard that only a hold makes
--- a/core/replica/limit.go
+++ b/core/replica/limit.go
@@ -22,6 +22,9 @@
 	// MinInFlight is a lower bound on this VM's limit at a replica that is not cold.
 	// It is set where replicas queue a few requests; 0 for no bound.
 	MinInFlight int
+	// Paced is true if the load on a replica that started or recovered rises as its replies
+	// allow, and not by RampStep.
+	Paced bool
 	// ColdRate is the rate that the replica accepts while cold, over all VMs; 0 for
 	// no limit.
 	ColdRate ident.Rate
@@ -67,6 +70,9 @@
 // replica.
 func (s *State) Limit(now ident.Instant) int {
 	limit := min(int(s.adaptiveLimit()), s.Shares.ConnectionShare())
+	if s.Shares.Paced {
+		return min(limit, s.paceLimit(now))
+	}
 	if s.Condition(now) == Cold {
 		return min(limit, s.Shares.RampShare(s.rampConcurrency(now)))
 	}
--- a/core/replica/pace.go
+++ b/core/replica/pace.go
@@ -77,12 +77,17 @@
 	now = max(now, s.performance.updated)
 	oldExcess, oldFailureRate := s.performance.decayed(now)
 	excess := oldExcess
+	s.observePace(now, r)
 	if r.MedianLatency > 0 {
 		excess = min(max(float64(r.Took)/float64(r.MedianLatency), minRelativeLatency), maxRelativeLatency) - 1
 	}
 	switch r.Outcome {
 	case OK:
 		s.performance.add(now, excess, 0)
+		if s.wasLost {
+			// The failures are those of connections to the replica before it recovered.
+			s.performance.failureRate = 0
+		}
 	case Aborted:
 		// The elapsed time is only a lower bound of the latency.
 		if excess > oldExcess {
@@ -99,6 +104,7 @@
 	s.InFlight++
 	s.pending = append(s.pending, now)
 	s.coldLimiter.take()
+	s.pace.Sent()
 }
 
 // Ended records the end of an attempt that was sent at the instant sent.
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/pace"
 	"carawaycross.example/carawaycross/core/snapshot"
 )
 
@@ -168,6 +169,8 @@
 	coldMark    uint64
 	performance performance
 	coldLimiter coldLimiter
+	// pace limits the attempts with Shares.Paced set.
+	pace pace.Pace
 	// pending holds the send time of each attempt in flight, oldest first.
 	pending []ident.Instant
 }
@@ -179,11 +182,11 @@
 	case Ejected, Lost:
 		if now >= s.until {
 			ejected := s.condition == Ejected
-			s.enter(Cold, now)
+			s.becomeCold(now)
 			s.probation = ejected
 		}
 	case Cold:
-		if s.rampConcurrency(now) > s.Shares.Slots {
+		if s.warmed(now) {
 			s.enter(Warm, now)
 			s.limit = s.fairShare()
 		}
@@ -205,9 +208,11 @@
 	return !s.Out && (c == Warm || c == Cold)
 }
 
-// CanSend reports whether one more attempt is within the limits.
+// CanSend reports whether one more attempt is within the limits, if no other replica of
+// its shard can take it.
 func (s *State) CanSend(now ident.Instant) bool {
-	return s.Usable(now) && s.InFlight < s.Limit(now) && s.coldRateAllows(now)
+	in := Selection{Now: now, Shard: &Shard{}}
+	return in.Eligible(s)
 }
 
 // Latency returns the moving average of the latency; 0 without samples.
@@ -232,7 +237,7 @@
 // leaving: the replica has restarted and is cold.
 func (s *State) ClearLeaving(now ident.Instant) {
 	if s.condition == Leaving && !s.departed && now.Sub(s.since) >= minLeaving {
-		s.enter(Cold, now)
+		s.becomeCold(now)
 	}
 }
 
@@ -246,7 +251,7 @@
 	}
 	s.coldMark = mark
 	if c := s.Condition(now); c == Warm || c == Cold {
-		s.enter(Cold, now)
+		s.becomeCold(now)
 	}
 }
 
@@ -254,7 +259,7 @@
 // is called when operators return the replica to service.
 func (s *State) BeginRamp(now ident.Instant) {
 	if s.condition != Leaving {
-		s.enter(Cold, now)
+		s.becomeCold(now)
 	}
 }
 
@@ -296,7 +301,7 @@
 	case RefusedCold:
 		// The replica is running another VM's attempt, so the ramp begins later.
 		if before != Leaving {
-			s.enter(Cold, now.Add(s.Shares.RampStep/refusedColdDivisor))
+			s.becomeCold(now.Add(s.Shares.RampStep / refusedColdDivisor))
 		}
 	case Draining:
 		s.MarkLeaving(now)
--- a/core/replica/soonest.go
+++ b/core/replica/soonest.go
@@ -25,6 +25,10 @@
 	// atMostOnceFailureCost is the cost of a failure that must not be retried, as a
 	// multiple of the median latency: far more than that of a slow reply.
 	atMostOnceFailureCost = 10.0
+	// retriedFailureRate is the failure rate below which a replica that could not be reached
+	// is tried like one without failures: idle replicas would otherwise always be chosen
+	// before it.
+	retriedFailureRate = 0.1
 	// assumedMedian replaces the median latency while that is unknown.
 	assumedMedian = 10 * time.Millisecond
 )
@@ -78,6 +82,9 @@
 	if floor := max(leastExcess, 0); s.performance.excessLatency > floor {
 		excessLatency = s.performance.decayedTo(in.Now, floor)
 	}
+	if s.wasLost && failureRate < retriedFailureRate {
+		failureRate = 0
+	}
 	failureRate = min(failureRate, maxFailureRate)
 	load := 1 + float64(s.InFlight)/float64(max(s.Shares.Slots, 1))
 	t := float64(median) * max(1+excessLatency, minRelativeLatency) * load
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -4,8 +4,6 @@
 package view
 
 import (
-	"time"
-
 	"carawaycross.example/carawaycross/core/container"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/poison"
@@ -54,8 +52,9 @@
 	// QuotaLimits limit the retries and hedges of all VMs together. If unset, the limits
 	// of the preset apply.
 	QuotaLimits retry.QuotaLimits
-	// RampStep overrides the preset's RampStep unless 0.
-	RampStep time.Duration
+	// Paced is true if the load on a replica that started or recovered rises as its replies
+	// allow, and not by the preset's RampStep.
+	Paced bool
 	// MinInFlight is the number of requests that a VM may have in flight at a
 	// replica even if its share of the slots is smaller; 0 for no minimum.
 	MinInFlight int
