subset: where VMs exceed the connections of a replica, only some VMs use it

Cause: ConnectionShare gives each VM at least one connection, so 140 VMs may hold 140 to a replica that accepts 122.

Control marks the others as a reserve, which a VM borrows only while no other replica of the shard is usable. The status shows a replica's pace.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -179,6 +179,7 @@
 	rendezvous *roster.RendezvousOrder
 	// discoveredRanks caches the ranks for discovered replicas.
 	discoveredRanks map[ident.ReplicaID]int
+	assignments     assignments
 	// members caches the members of the view while membersStale is false.
 	members      container.COW[ident.VMID, view.Member]
 	membersStale bool
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -48,6 +48,7 @@
 	if c.config.Discovers {
 		c.catalogue.AddTo(v, c.config.QuotaLimits, c.discoveredRank)
 		c.markOut(v.Services[len(c.config.Services):])
+		c.markReserves(v, v.Services[len(c.config.Services):])
 	}
 	if c.membersStale {
 		c.membersStale = false
@@ -69,6 +70,7 @@
 	c.senders = senders
 	order := roster.NewRendezvousOrder(c.config.Self.VM, senders)
 	c.rendezvous, c.discoveredRanks = order, map[ident.ReplicaID]int{}
+	c.assignments = assignments{}
 	c.ranks = make([][]int, len(c.config.Services))
 	for i, s := range c.config.Services {
 		c.ranks[i] = make([]int, len(s.Replicas))
--- a/core/node/report.go
+++ b/core/node/report.go
@@ -19,7 +19,9 @@
 	Out       bool
 	InFlight  int
 	Limit     int
-	Latency   time.Duration
+	// Pace is the concurrency over all VMs to which a pace limits the replica; 0 for none.
+	Pace    float64
+	Latency time.Duration
 }
 
 // A ServiceReport summarizes the availability of a service for new searches.
@@ -48,7 +50,7 @@
 			for _, r := range sh.Replicas {
 				out.Replicas = append(out.Replicas, ReplicaReport{
 					Service: svc.id, Shard: sh.ID, ID: r.ID, Zone: r.Zone, Condition: r.Condition(now),
-					Out: r.Out, InFlight: r.InFlight, Limit: r.Limit(now), Latency: r.Latency(),
+					Out: r.Out, InFlight: r.InFlight, Limit: r.Limit(now), Pace: r.Pace(now), Latency: r.Latency(),
 				})
 			}
 		}
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -128,7 +128,7 @@
 	r.Local = vr.Zone == v.Zone
 	returned := r.Out && !vr.Out
 	r.Out = vr.Out
-	r.ColdUntil = vr.ColdUntil
+	r.ColdUntil, r.Reserve = vr.ColdUntil, vr.Reserve
 	r.Shares = replica.Shares{
 		Slots: vs.Slots, Connections: vs.Connections,
 		VMs: v.VMs, Rank: vr.Rank, RampStep: v.Preset.RampStep, ColdRate: vs.ColdRate,
--- a/core/replica/choice.go
+++ b/core/replica/choice.go
@@ -35,7 +35,20 @@
 // Eligible reports whether the attempt may be sent to r now.
 func (in *Selection) Eligible(r *State) bool {
 	return r.Usable(in.Now) && r.InFlight < r.Limit(in.Now)+in.overcommit(r) && r.coldRateAllows(in.Now) &&
-		in.Holds(r) && !in.tried(r) && in.paceAllows(r)
+		in.Holds(r) && !in.tried(r) && !in.reserved(r) && in.paceAllows(r)
+}
+
+// reserved reports whether r gets no attempt because another replica is usable.
+func (in *Selection) reserved(r *State) bool {
+	if !r.Reserve {
+		return false
+	}
+	for _, o := range in.Shard.Replicas {
+		if !o.Reserve && o.Usable(in.Now) {
+			return true
+		}
+	}
+	return false
 }
 
 // overcommit returns how many attempts above its limit r may get. The connection
--- a/core/replica/recovery.go
+++ b/core/replica/recovery.go
@@ -81,7 +81,7 @@
 // hasUnpaced reports whether a replica without a pace can take the attempt.
 func (in *Selection) hasUnpaced() bool {
 	for _, r := range in.Shard.Replicas {
-		if r.Usable(in.Now) && !r.paced(in.Now) && r.InFlight < r.Limit(in.Now) && in.Holds(r) && !in.tried(r) {
+		if r.Usable(in.Now) && !r.paced(in.Now) && r.InFlight < r.Limit(in.Now) && in.Holds(r) && !in.tried(r) && !in.reserved(r) {
 			return true
 		}
 	}
--- a/core/replica/recovery_test.go
+++ b/core/replica/recovery_test.go
@@ -66,3 +66,23 @@
 		t.Fatalf("%d of %d VMs may send within %v of the end of the hold", sent, vms, medianLatency)
 	}
 }
+
+// TestReserveReplicaIsBorrowed checks that a VM sends nothing to a reserve replica while
+// another one of the shard is usable, whatever its load, and borrows it otherwise.
+func TestReserveReplicaIsBorrowed(t *testing.T) {
+	sh := threeReplicas()
+	now := ident.Instant(time.Hour)
+	sh.Replicas[1].Reserve, sh.Replicas[2].Reserve = true, true
+	for range 10 {
+		if r := soonest(now, sh); r != nil {
+			if r.Reserve {
+				t.Fatal("a reserve replica gets an attempt while another one is usable")
+			}
+			r.Sent(now)
+		}
+	}
+	sh.Replicas[0].MarkLeaving(now)
+	if r := soonest(now, sh); r == nil || !r.Reserve {
+		t.Fatal("no reserve replica is borrowed although no other one is usable")
+	}
+}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -139,6 +139,9 @@
 	ReportedLoad uint32
 	// Out is true while operators keep the replica's zone or VM out of service.
 	Out bool
+	// Reserve is true if the replica gets attempts of this VM only while no other one of its
+	// shard is usable.
+	Reserve bool
 	// Incarnation distinguishes successive processes of a replica under one ID; 0
 	// if unknown.
 	Incarnation ident.Incarnation
--- a/core/roster/probe.go
+++ b/core/roster/probe.go
@@ -59,7 +59,7 @@
 		return out
 	}
 	base := xxhash.Sum64String(string(r.self))
-	weight := func(vm ident.VMID) uint64 { return rendezvousWeight(base, xxhash.Sum64String(string(vm))) }
+	weight := func(vm ident.VMID) uint64 { return RendezvousWeight(base, xxhash.Sum64String(string(vm))) }
 	slices.SortFunc(out, func(a, b ident.VMID) int {
 		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
 	})
--- a/core/roster/share.go
+++ b/core/roster/share.go
@@ -24,10 +24,10 @@
 	return out
 }
 
-// rendezvousWeight returns the rendezvous weight of a VM for a subject, from the
+// RendezvousWeight returns the rendezvous weight of a VM for a subject, from the
 // hashes of their names (Thaler, Ravishankar: "A Name-Based Mapping Scheme for
 // Rendezvous"). It uses the finalizer of SplitMix64.
-func rendezvousWeight(subject, vm uint64) uint64 {
+func RendezvousWeight(subject, vm uint64) uint64 {
 	z := subject ^ bits.RotateLeft64(vm, 32)
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
 	z = (z ^ z>>27) * 0x94d049bb133111eb
@@ -55,10 +55,10 @@
 // weight. Equal weights are ordered by ID.
 func (o *RendezvousOrder) Rank(subject string) int {
 	base := xxhash.Sum64String(subject)
-	own := rendezvousWeight(base, xxhash.Sum64String(string(o.self)))
+	own := RendezvousWeight(base, xxhash.Sum64String(string(o.self)))
 	rank := 0
 	for i, vm := range o.vms {
-		w := rendezvousWeight(base, o.hashes[i])
+		w := RendezvousWeight(base, o.hashes[i])
 		if vm != o.self && (w > own || (w == own && vm < o.self)) {
 			rank++
 		}
--- a/serve/door/page.go
+++ b/serve/door/page.go
@@ -77,7 +77,11 @@
 			fmt.Fprintf(w, "and %d more\n", len(s.Upstreams)-maxListedUpstreams)
 			return
 		}
-		fmt.Fprintf(w, "%s\t%s shard %d\t%s\t%s\n", u.Replica, u.Service, u.Shard, u.Zone, u.Condition)
+		pace := ""
+		if u.Pace > 0 {
+			pace = fmt.Sprintf(", at most %.1f in flight over all VMs", u.Pace)
+		}
+		fmt.Fprintf(w, "%s\t%s shard %d\t%s\t%s%s\n", u.Replica, u.Service, u.Shard, u.Zone, u.Condition, pace)
 	}
 }
 
--- a/serve/vm/status.go
+++ b/serve/vm/status.go
@@ -97,12 +97,12 @@
 		if r.Out {
 			condition = "out"
 		}
-		if condition == replica.Warm.String() {
+		if condition == replica.Warm.String() && r.Pace == 0 {
 			continue
 		}
 		m.Upstreams = append(m.Upstreams, &schema.UpstreamStatus{
 			Replica: string(r.ID), Service: string(r.Service), Shard: uint32(r.Shard),
-			Zone: string(r.Zone), Condition: condition,
+			Zone: string(r.Zone), Condition: condition, Pace: r.Pace,
 		})
 	}
 }
