--- a/core/node/service.go
+++ b/core/node/service.go
@@ -107,7 +107,8 @@
 	for i := range vs.Replicas {
 		vr := &vs.Replicas[i]
 		r := known[vr.ID]
-		if r == nil || r.Incarnation != vr.Incarnation {
+		started := r == nil || r.Incarnation != vr.Incarnation
+		if started {
 			r = &replica.State{ID: vr.ID, Incarnation: vr.Incarnation}
 			if departures.Includes(r.ID, r.Incarnation) {
 				r.MarkDeparted(now)
@@ -115,7 +116,7 @@
 		}
 		s.updateReplica(now, v, vs, vr, r)
 		// A VM that has just started knows of no replica whether it has just started, too.
-		if r != known[vr.ID] && (!first || now < vr.ColdUntil) {
+		if started && (!first || now < vr.ColdUntil) {
 			r.BeginPace(now)
 		}
 		sh := s.shard(vr.Shard, v.Preset.QueueLength, len(v.Preset.Classes))
