--- a/proof/model/world.go
+++ b/proof/model/world.go
@@ -110,7 +110,6 @@
 		Marshal: codec.MarshalRoutes, Unmarshal: codec.UnmarshalRoutes,
 	}, v.selector, transport{w, i})
 	v.reader.Now = func() time.Time { return w.now }
-	v.reader.Sleep = func(context.Context, time.Duration) {}
 	v.follower = watch.Follower[catalogue.Configuration]{Source: v.reader, Handler: watch.Handler[catalogue.Configuration]{
 		Listed:  func(_ context.Context, items []platform.Change[catalogue.Configuration]) { v.replace(items) },
 		Changed: func(_ context.Context, changes []platform.Change[catalogue.Configuration]) { v.apply(changes) },
--- a/serve/mirror/mirror_test.go
+++ b/serve/mirror/mirror_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,15 +90,9 @@
 	readers     map[ident.VMID]*mirror.Reader[string]
 	unreachable map[ident.VMID]bool
 	asked       int
-	// mu guards asked if several goroutines ask; nil otherwise.
-	mu *sync.Mutex
 }
 
 func (t *fakeTransport) Ask(ctx context.Context, to mirror.Member, q mirror.Question) (mirror.Answer[[]byte], error) {
-	if t.mu != nil {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-	}
 	t.asked++
 	r := t.readers[to.VM]
 	if r == nil || t.unreachable[to.VM] {
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -44,8 +44,7 @@
 	// through it would call the store at the same moment.
 	disconnectGrace = 300 * time.Millisecond
 	// storeRetryInterval is the time between two calls to the store of a VM that should
-	// read from a mirror, if it reads through others or many VMs would replace its mirror
-	// before it, while the store does not serve it.
+	// read from a mirror and reads through others, because the store does not serve it.
 	storeRetryInterval = 3 * time.Second
 	// maxPath is the most VMs through which a VM reads the store.
 	maxPath = 8
@@ -89,8 +88,6 @@
 	// InitialListWait is how long to wait for the first listing of a mirror. It is 0 for
 	// a VM that starts while others already run.
 	InitialListWait time.Duration
-	// Sleep replaces clock.Sleep unless nil. It must be set before the first read.
-	Sleep func(ctx context.Context, d time.Duration)
 	// Unreadable, if not nil, is called for each object of an answer that cannot be
 	// decoded or encoded.
 	Unreadable func(kind, name string, err error)
@@ -148,10 +145,6 @@
 			return l, nil
 		}
 	}
-	if l, path, ok := r.awaitListing(ctx); ok {
-		r.cache.SetListing(l, path...)
-		return l, nil
-	}
 	l, err := r.source.List(ctx)
 	if err == nil {
 		r.cache.SetListing(l)
@@ -199,12 +192,14 @@
 		if !ok {
 			continue
 		}
-		return r.applyMirrored(a, after)
+		if a.Outcome == Compacted {
+			return nil, after, compacted()
+		}
+		r.cache.Apply(a.Changes, a.Version, a.Path...)
+		r.lastDetour = Detour{}
+		return a.Changes, a.Version, nil
 	}
 	if r.shouldReadStore() {
-		if a, ok := r.awaitChanges(ctx, after); ok {
-			return r.applyMirrored(a, after)
-		}
 		if changes, version, err = r.readStore(ctx, after, wait); err == nil || storeAnswered(err) {
 			return changes, version, err
 		}
@@ -227,23 +222,9 @@
 	return nil, after, err
 }
 
-// applyMirrored applies the answer of a mirror to a question for the changes after a
-// version.
-func (r *Reader[T]) applyMirrored(a Answer[T], after platform.StoreVersion) ([]platform.Change[T], platform.StoreVersion, error) {
-	if a.Outcome == Compacted {
-		return nil, after, compacted()
-	}
-	r.cache.Apply(a.Changes, a.Version, a.Path...)
-	r.lastDetour = Detour{}
-	return a.Changes, a.Version, nil
-}
-
 // shouldReadStore reports whether to call the store now that no mirror answered.
 func (r *Reader[T]) shouldReadStore() bool {
-	if r.selector.ReadsStore() || r.time().Sub(r.storeFailedAt) >= storeRetryInterval {
-		return true
-	}
-	return !r.cache.isRelayed() && r.selector.takeoverDelay() == 0
+	return r.selector.ReadsStore() || !r.cache.isRelayed() || r.time().Sub(r.storeFailedAt) >= storeRetryInterval
 }
 
 // readStore waits for changes in the store.
--- a/serve/mirror/selector.go
+++ b/serve/mirror/selector.go
@@ -114,32 +114,13 @@
 func (s *Selector) Mirrors(now time.Time) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.candidates(now, s.preceding())
-}
-
-// allMirrors returns the members that Mirrors selects from, also those that are excluded.
-func (s *Selector) allMirrors() []Member {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []Member
-	for _, m := range s.preceding() {
-		if len(out) < maxCandidates && !slices.Contains(out, m) {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
-// preceding returns the members that precede this VM as mirrors, in order of preference.
-// The lock must be held.
-func (s *Selector) preceding() []Member {
 	if s.alwaysReadStore {
 		return nil
 	}
 	if before := s.countBefore(s.zoneOrder); before > 0 {
-		return append([]Member{s.zoneOrder[(before-1)/fanout]}, s.zoneOrder[:before]...)
+		return s.candidates(now, append([]Member{s.zoneOrder[(before-1)/fanout]}, s.zoneOrder[:before]...))
 	}
-	return s.regionOrder[:s.countBefore(s.regionOrder)]
+	return s.candidates(now, s.regionOrder[:s.countBefore(s.regionOrder)])
 }
 
 // Others returns members of the region to ask if neither the mirrors nor the store can be
--- a/serve/watch/watch.go
+++ b/serve/watch/watch.go
@@ -146,8 +146,7 @@
 			clock.Sleep(ctx, backoff.Next(rand.Float64()))
 			continue
 		}
-		// Once there is a list, a failed read can wait like the next one.
-		backoff = platform.Backoff{MinDelay: interval, MaxDelay: max(w.MaxListInterval, maxRetryDelay)}
+		backoff.Reset()
 		w.Listener.VMsListed(vms)
 		clock.Sleep(ctx, interval)
 		interval = min(2*interval, max(w.MaxListInterval, minListInterval))
