subset: a VM borrows a replica while its own ones are in trouble

Cause: with subsets, a VM that lacks a replica used its slow, dark or failing ones until they counted as lost.

Change: a reserve is borrowed while no own replica is sound: each is unusable, tried, overdue, slow or failing. The connection is closed after the reply, so that kept connections stay within what the replica accepts.

--- a/core/node/action.go
+++ b/core/node/action.go
@@ -43,10 +43,12 @@
 	Address string
 	// Connections is this VM's share of the replica's connections.
 	Connections int
-	Service     ident.ServiceID
-	Shard       ident.ShardID
-	Snapshot    ident.SnapshotID
-	Body        []byte
+	// Borrowed is true for an attempt whose connection must be closed after its reply.
+	Borrowed bool
+	Service  ident.ServiceID
+	Shard    ident.ShardID
+	Snapshot ident.SnapshotID
+	Body     []byte
 	// Message is the request to proxy unchanged; nil for a search or booking.
 	Message *passage.Request
 	// AtMostOnce is true when the Message may run at most once.
--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -89,7 +89,7 @@
 	r.Sent(now)
 	c.actions = append(c.actions, Action{
 		Kind: Send, Query: ident.QueryID(q.handle), Attempt: ident.AttemptID(h),
-		Replica: r.ID, Address: r.Address, Connections: r.Shares.ConnectionShare(),
+		Replica: r.ID, Address: r.Address, Connections: r.Shares.ConnectionShare(), Borrowed: r.Reserve,
 		Service: p.svc.id, Shard: r.Shard, Incarnation: r.Incarnation,
 		Snapshot: q.snapshot, Body: q.arrival.Body, Message: q.arrival.Message, AtMostOnce: !q.repeatable(),
 		Key: q.arrival.Key, Deadline: q.deadline, Left: q.deadline.Sub(now),
--- a/core/replica/choice.go
+++ b/core/replica/choice.go
@@ -38,19 +38,36 @@
 		in.Holds(r) && !in.tried(r) && !in.reserved(r) && in.paceAllows(r)
 }
 
-// reserved reports whether r gets no attempt because another replica is usable.
+// reserved reports whether r gets no attempt because another replica is sound.
 func (in *Selection) reserved(r *State) bool {
 	if !r.Reserve {
 		return false
 	}
 	for _, o := range in.Shard.Replicas {
-		if !o.Reserve && o.Usable(in.Now) {
+		if !o.Reserve && in.sound(o) {
 			return true
 		}
 	}
 	return false
 }
 
+const (
+	// soundExcess and soundFailureRate are the excess latency and the failure rate from
+	// which a replica is not sound.
+	soundExcess      = 1.0
+	soundFailureRate = 0.25
+)
+
+// sound reports whether r can be expected to reply to the attempt, if perhaps after others:
+// it was not tried, and is neither slow, failing nor overdue.
+func (in *Selection) sound(r *State) bool {
+	if !r.Usable(in.Now) || in.tried(r) || !in.Holds(r) || r.Overdue(in.Now, in.MedianLatency) > 0 {
+		return false
+	}
+	excess, failureRate := r.performance.decayed(in.Now)
+	return excess < soundExcess && failureRate < soundFailureRate
+}
+
 // overcommit returns how many attempts above its limit r may get. The connection
 // share stays the upper bound.
 func (in *Selection) overcommit(r *State) int {
--- a/core/replica/recovery_test.go
+++ b/core/replica/recovery_test.go
@@ -68,21 +68,53 @@
 }
 
 // TestReserveReplicaIsBorrowed checks that a VM sends nothing to a reserve replica while
-// another one of the shard is usable, whatever its load, and borrows it otherwise.
+// another one of the shard is sound, whatever its load, and borrows it if the others are
+// leaving, overdue, slow, failing or tried.
 func TestReserveReplicaIsBorrowed(t *testing.T) {
-	sh := threeReplicas()
-	now := ident.Instant(time.Hour)
-	sh.Replicas[1].Reserve, sh.Replicas[2].Reserve = true, true
+	start := ident.Instant(time.Hour)
+	newShard := func() (*replica.Shard, *replica.State) {
+		sh := threeReplicas()
+		sh.Replicas[1].Reserve, sh.Replicas[2].Reserve = true, true
+		return sh, sh.Replicas[0]
+	}
+	sh, own := newShard()
 	for range 10 {
-		if r := soonest(now, sh); r != nil {
+		if r := soonest(start, sh); r != nil {
 			if r.Reserve {
-				t.Fatal("a reserve replica gets an attempt while another one is usable")
+				t.Fatal("a reserve replica gets an attempt while another one is sound")
+			}
+			r.Sent(start)
+		}
+	}
+	if own.InFlight == 0 {
+		t.Fatal("the sound replica gets nothing")
+	}
+	for name, trouble := range map[string]func(own *replica.State) ident.Instant{
+		"leaving": func(own *replica.State) ident.Instant { own.MarkLeaving(start); return start },
+		"overdue": func(own *replica.State) ident.Instant {
+			own.Sent(start)
+			return start.Add(3 * medianLatency)
+		},
+		"slow": func(own *replica.State) ident.Instant {
+			for range 3 {
+				own.RecordResult(start, replica.AttemptResult{Outcome: replica.OK, Took: 5 * medianLatency, MedianLatency: medianLatency})
 			}
-			r.Sent(now)
+			return start
+		},
+		"failing": func(own *replica.State) ident.Instant {
+			own.RecordResult(start, replica.AttemptResult{Outcome: replica.Failed, Took: medianLatency, MedianLatency: medianLatency})
+			return start
+		},
+	} {
+		sh, own := newShard()
+		now := trouble(own)
+		if r := soonest(now, sh); r == nil || !r.Reserve {
+			t.Errorf("%s: no reserve replica is borrowed", name)
 		}
 	}
-	sh.Replicas[0].MarkLeaving(now)
-	if r := soonest(now, sh); r == nil || !r.Reserve {
-		t.Fatal("no reserve replica is borrowed although no other one is usable")
+	sh, own = newShard()
+	in := replica.Selection{Now: start, Shard: sh, Tried: []*replica.State{own}, MedianLatency: medianLatency}
+	if !in.Eligible(sh.Replicas[1]) {
+		t.Error("a second attempt may not borrow a reserve replica")
 	}
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -140,7 +140,7 @@
 	// Out is true while operators keep the replica's zone or VM out of service.
 	Out bool
 	// Reserve is true if the replica gets attempts of this VM only while no other one of its
-	// shard is usable.
+	// shard is sound.
 	Reserve bool
 	// Incarnation distinguishes successive processes of a replica under one ID; 0
 	// if unknown.
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -32,9 +32,9 @@
 	// Software is the version of the software that the replica runs; empty if not
 	// reported.
 	Software ident.Software
-	// Reserve is true if this VM may connect to the replica only while no other replica of
-	// the service is usable, because the replica accepts fewer connections than there are
-	// VMs.
+	// Reserve is true if this VM may use the replica only while no other one of the service
+	// is sound, and keeps no connection to it, because the replica accepts fewer connections
+	// than there are VMs.
 	Reserve bool
 	// Slots overrides Service.Slots for this replica unless 0.
 	Slots int
