--- a/core/view/view.go
+++ b/core/view/view.go
@@ -4,8 +4,6 @@
 package view
 
 import (
-	"time"
-
 	"carawaycross.example/carawaycross/core/container"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/poison"
@@ -34,6 +32,10 @@
 	// Software is the version of the software that the replica runs; empty if not
 	// reported.
 	Software ident.Software
+	// Reserve is true if this VM may use the replica only while no other one of the service
+	// is sound, and keeps no connection to it, because the replica accepts fewer connections
+	// than there are VMs.
+	Reserve bool
 	// Slots overrides Service.Slots for this replica unless 0.
 	Slots int
 	// Incarnation distinguishes successive processes of the replica under one ID; 0
@@ -54,8 +56,9 @@
 	// QuotaLimits limit the retries and hedges of all VMs together. If unset, the limits
 	// of the preset apply.
 	QuotaLimits retry.QuotaLimits
-	// RampStep overrides the preset's RampStep unless 0.
-	RampStep time.Duration
+	// Paced is true if the load on a replica that started or recovered rises as its replies
+	// allow, and not by the preset's RampStep.
+	Paced bool
 	// MinInFlight is the number of requests that a VM may have in flight at a
 	// replica even if its share of the slots is smaller; 0 for no minimum.
 	MinInFlight int
