--- a/cmd/carawaycross/main.go
+++ b/cmd/carawaycross/main.go
@@ -24,7 +24,7 @@
 // commands returns all subcommands in the order in which the help lists them.
 func commands() []command {
 	return []command{
-		&entryCommand{}, &serveCommand{}, &checkCommand{}, &demoCommand{}, &measureCommand{},
+		&entryCommand{}, &serveCommand{}, &checkCommand{}, &configCommand{}, &demoCommand{}, &measureCommand{},
 		&searchCommand{}, &bookCommand{}, &statusCommand{},
 		&presetCommand{}, newOutCommand("zone"), newOutCommand("vm"),
 		&standinCommand{}, &soakCommand{}, &modelCommand{}, &explainCommand{}, &keysCommand{}, &versionCommand{},
