intake: requests that were answered before their bodies came give way first

Cause: found by reading. A request without a route was answered while its body was missing, and its head stayed reserved for the five seconds in which the rest could come. Enough of them would have refused every body. They are now refused first, before slow ones; their connections close.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -303,7 +303,11 @@
 	}
 }
 
-// costliest returns the connection whose request is refused first: one that is refused
+// done reports whether the request is not served any more: it was answered or refused
+// before it arrived.
+func (c *connection) done() bool { return c.phase == Discarding || c.phase == Refused }
+
+// costliest returns the connection whose request is refused first: one that is done
 // already, then a slow one, then the one with the largest memory times age. The request of
 // asking is one of them, with the n bytes that it asks for.
 func (l *Ledger[K]) costliest(now ident.Instant, asking *connection, n ident.Bytes) (victim K, found bool) {
@@ -311,7 +315,7 @@
 	defer func() { asking.held -= n }()
 	var worst *connection
 	for k, c := range l.connections {
-		if c.held == 0 || c.ending || (c.phase != Head && c.phase != Body && c.phase != Refused) {
+		if c.held == 0 || c.ending || (c.phase != Head && c.phase != Body && !c.done()) {
 			continue
 		}
 		if worst == nil || costlier(now, c, worst) {
@@ -322,8 +326,8 @@
 }
 
 func costlier(now ident.Instant, a, b *connection) bool {
-	if refused := a.phase == Refused; refused != (b.phase == Refused) {
-		return refused
+	if done := a.done(); done != b.done() {
+		return done
 	}
 	if slow := a.slow(now); slow != b.slow(now) {
 		return slow
@@ -335,7 +339,7 @@
 }
 
 // Refuse records that a caller was turned away for another reason than memory. Its memory
-// stays in use until Close.
+// stays in use until it is released.
 func (l *Ledger[K]) Refuse(k K) {
 	if c := l.connections[k]; c != nil && c.phase != Closed {
 		c.phase = Refused
--- a/serve/gate/conn.go
+++ b/serve/gate/conn.go
@@ -43,8 +43,8 @@
 type conn struct {
 	net.Conn
 	gate *Gate
-	// phase and the counts of the head are written by the goroutine that reads requests,
-	// headBytes and headLines while the phase is Head.
+	// The counts of the head that is arriving, and what was reserved for it. Only the
+	// goroutine that reads requests accesses them.
 	headBytes, headLines, headHeld ident.Bytes
 	// counted is true after the caller was counted as turned away. The mutex of the Gate
 	// guards it.
@@ -53,7 +53,8 @@
 	// goroutine that reads requests, and the mutex of the Gate guards it.
 	request *Request
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// phase is the one that was last entered.
 	phase intake.Phase
 	// deadline is the end of the time for what the caller has to send next; zero for none.
 	deadline time.Time
