--- a/proof/crowd/process_test.go
+++ b/proof/crowd/process_test.go
@@ -84,21 +84,32 @@
 	if err := site.Configure(c); err != nil {
 		t.Fatal(err)
 	}
-	p := &target{t: t, boot: site.Boots[0], exited: make(chan error, 1), log: &bytes.Buffer{}, kept: &http.Client{Transport: &http.Transport{}}}
+	boot := site.Boots[0]
 	path := filepath.Join(t.TempDir(), "settings.conf")
-	text := fmt.Sprintf("%slimits.memoryMb=%d\nlimits.maxFds=%d\n", p.boot.Text(), memoryMB, descriptors)
+	text := fmt.Sprintf("%slimits.memoryMb=%d\nlimits.maxFds=%d\n", boot.Text(), memoryMB, descriptors)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p.command = exec.Command(binary, "entry", "--settings", path)
-	p.command.Stdout, p.command.Stderr = p.log, p.log
-	if err := p.command.Start(); err != nil {
+	p := newTarget(t, exec.Command(binary, "entry", "--settings", path))
+	p.boot = boot
+	p.await("ready", func() bool { return p.get(p.ready(), platform.ReadyPath, "") == http.StatusOK })
+	p.expectKept(false)
+	return p
+}
+
+// newTarget starts a process. The test's end stops it.
+func newTarget(t *testing.T, command *exec.Cmd) *target {
+	t.Helper()
+	p := &target{
+		t: t, command: command, exited: make(chan error, 1), log: &bytes.Buffer{},
+		kept: &http.Client{Transport: &http.Transport{}},
+	}
+	command.Stdout, command.Stderr = p.log, p.log
+	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go func() { p.exited <- p.command.Wait() }()
+	go func() { p.exited <- command.Wait() }()
 	t.Cleanup(p.stop)
-	p.await("ready", func() bool { return p.get(p.ready(), platform.ReadyPath, "") == http.StatusOK })
-	p.expectKept(false)
 	return p
 }
 
