--- a/core/node/core.go
+++ b/core/node/core.go
@@ -7,10 +7,12 @@
 	"carawaycross.example/carawaycross/core/admission"
 	"carawaycross.example/carawaycross/core/booking"
 	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/fairness"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/poison"
 	"carawaycross.example/carawaycross/core/replica"
 	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/usage"
 	"carawaycross.example/carawaycross/core/view"
 )
 
@@ -45,6 +47,10 @@
 	// Random breaks ties and adds jitter to retry times; nil selects a generator with a fixed seed.
 	Random   replica.Random
 	Policies Policies
+	// UsageBounds say how exactly the usage caps of tenants hold over all VMs.
+	UsageBounds usage.Bounds
+	// FirstStart is true if the whole deployment starts for the first time.
+	FirstStart bool
 }
 
 type timerKind uint8
@@ -91,6 +97,8 @@
 	profiles map[ident.RouteID]*profile
 	splits   route.Splits
 	recent   requestCounts
+	// tenants records the admitted queries by tenant, once the configuration has tenants.
+	tenants fairness.Places[ident.TenantID]
 	// departures outlive the states of replicas that are no longer listed.
 	departures replica.Departures
 	// resumedAt is when the VM last continued after a stall.
@@ -114,6 +122,11 @@
 	freeQueries []*query
 	// inFlight counts the admitted queries that are not answered.
 	inFlight int
+	// usage shares the usage caps of tenants with the other VMs. decisions and exchanges
+	// are buffers for its results.
+	usage     *usage.Ledger
+	decisions []usage.Decision
+	exchanges []usage.Exchange
 }
 
 // New returns a Core without a view. It refuses requests until Install is called.
@@ -129,6 +142,7 @@
 		runningBookings: map[ident.RequestKey]container.Handle{},
 		recentLosses:    container.NewRing[upstreamLoss](maxRecentLosses),
 		profiles:        map[ident.RouteID]*profile{},
+		usage:           usage.New(usage.Config{VM: config.VM, Started: config.Started, FirstStart: config.FirstStart}),
 		splitPhase:      float64(config.Random.IntN(randomSteps)) / randomSteps,
 	}
 }
@@ -148,7 +162,7 @@
 }
 
 // Wake returns the instant at which Tick must be called next, or ident.Never.
-func (c *Core) Wake() ident.Instant { return c.timers.Next() }
+func (c *Core) Wake() ident.Instant { return min(c.timers.Next(), c.usage.Wake()) }
 
 // InFlight returns the number of admitted queries that are not answered.
 func (c *Core) InFlight() int { return c.inFlight }
@@ -182,6 +196,7 @@
 		}
 	}
 	c.confirmCrashes(now)
+	c.installUsage(now, v)
 }
 
 // Arrive starts a query for a caller's request and returns its ID, which the actions
@@ -191,23 +206,29 @@
 	q := c.newQuery(now, a)
 	h := c.queries.Put(q)
 	q.handle = h
+	if c.capAdmits(now, q) {
+		c.begin(now, q)
+	}
+	return ident.QueryID(h)
+}
+
+// begin admits and starts a query, or refuses it.
+func (c *Core) begin(now ident.Instant, q *query) {
 	if reason, detail := c.prepare(now, q); reason != admission.Admitted {
 		c.refuseUnadmitted(now, q, reason, detail)
-		return ident.QueryID(h)
+		return
 	}
 	c.inFlight++
 	q.admitted = true
-	c.timers.Add(q.deadline, timer{kind: deadlineTimer, query: h})
-	if a.Key != "" {
+	c.timers.Add(q.deadline, timer{kind: deadlineTimer, query: q.handle})
+	switch {
+	case q.arrival.Key != "":
 		c.startBooking(now, q)
-		return ident.QueryID(h)
-	}
-	if q.target != nil {
+	case q.target != nil:
 		c.startRouted(now, q)
-		return ident.QueryID(h)
+	default:
+		c.startSearch(now, q)
 	}
-	c.startSearch(now, q)
-	return ident.QueryID(h)
 }
 
 // refuseUnadmitted refuses a query that was not admitted. An earlier send of a booking may
@@ -280,8 +301,8 @@
 	var wait time.Duration
 	queueFull := false
 	for _, sh := range q.svc.shards {
-		wait = max(wait, sh.EstimateWait(now, sh.queue.Ahead(q.rank), median))
-		queueFull = queueFull || !sh.queue.CanPush(q.rank)
+		wait = max(wait, sh.EstimateWait(now, sh.queue.Ahead(q.rank, q.flow), median))
+		queueFull = queueFull || !sh.queue.CanPush(q.rank, q.flow)
 	}
 	return c.policies.Admit.Decide(admission.Request{
 		Rank: q.rank, Ranks: len(q.preset.Classes),
@@ -311,6 +332,7 @@
 // Tick runs the timers that are due at now.
 func (c *Core) Tick(now ident.Instant) {
 	c.detectStall(now)
+	c.tickUsage(now)
 	for {
 		t, ok := c.timers.Pop(now)
 		if !ok {
@@ -372,6 +394,8 @@
 	switch {
 	case q.answered:
 		c.release(now, q)
+	case q.capState == awaitsToken:
+		c.refuseAwaiting(now, q)
 	case q.arrival.Key != "":
 		c.expireBooking(now, q)
 	default:
@@ -393,6 +417,7 @@
 // finish emits the answer. It releases the query unless it is a booking with an attempt
 // in flight.
 func (c *Core) finish(now ident.Instant, q *query, a *Answer) {
+	c.leaveFlow(q)
 	a.Took = now.Sub(q.started)
 	a.FirstAttempts, a.ExtraAttempts = q.firstAttempts, q.extraAttempts
 	if q.preset != nil {
@@ -405,6 +430,7 @@
 	if q.admitted {
 		c.inFlight--
 	}
+	c.returnToken(now, q, a)
 	c.actions = append(c.actions, Action{Kind: Finish, Query: ident.QueryID(q.handle), Answer: a})
 	if q.arrival.Key != "" && q.hasInFlight() {
 		c.timers.Add(now.Add(bookingGracePeriod), timer{kind: deadlineTimer, query: q.handle})
--- a/core/replica/choice.go
+++ b/core/replica/choice.go
@@ -35,7 +35,37 @@
 // Eligible reports whether the attempt may be sent to r now.
 func (in *Selection) Eligible(r *State) bool {
 	return r.Usable(in.Now) && r.InFlight < r.Limit(in.Now)+in.overcommit(r) && r.coldRateAllows(in.Now) &&
-		in.Holds(r) && !in.tried(r)
+		in.Holds(r) && !in.tried(r) && !in.reserved(r) && in.paceAllows(r)
+}
+
+// reserved reports whether r gets no attempt because another replica is sound.
+func (in *Selection) reserved(r *State) bool {
+	if !r.Reserve {
+		return false
+	}
+	for _, o := range in.Shard.Replicas {
+		if !o.Reserve && in.sound(o) {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// soundExcess and soundFailureRate are the excess latency and the failure rate from
+	// which a replica is not sound.
+	soundExcess      = 1.0
+	soundFailureRate = 0.25
+)
+
+// sound reports whether r can be expected to reply to the attempt, if perhaps after others:
+// it was not tried, and is neither slow, failing nor overdue.
+func (in *Selection) sound(r *State) bool {
+	if !r.Usable(in.Now) || in.tried(r) || !in.Holds(r) || r.Overdue(in.Now, in.MedianLatency) > 0 {
+		return false
+	}
+	excess, failureRate := r.performance.decayed(in.Now)
+	return excess < soundExcess && failureRate < soundFailureRate
 }
 
 // overcommit returns how many attempts above its limit r may get. The connection
