--- a/core/replica/choice.go
+++ b/core/replica/choice.go
@@ -61,7 +61,11 @@
 // sound reports whether r can be expected to reply to the attempt, if perhaps after others:
 // it was not tried, and is neither slow, failing nor overdue.
 func (in *Selection) sound(r *State) bool {
-	if !r.Usable(in.Now) || in.tried(r) || !in.Holds(r) || r.Overdue(in.Now, in.MedianLatency) > 0 {
+	median := in.MedianLatency
+	if median == 0 {
+		median = assumedMedian
+	}
+	if !r.Usable(in.Now) || in.tried(r) || !in.Holds(r) || r.Overdue(in.Now, median) > 0 {
 		return false
 	}
 	excess, failureRate := r.performance.decayed(in.Now)
