--- a/core/node/service.go
+++ b/core/node/service.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/fairness"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/replica"
 	"carawaycross.example/carawaycross/core/retry"
@@ -21,7 +22,7 @@
 
 type shard struct {
 	replica.Shard
-	queue *container.Queue[queuedPart]
+	queue *container.FairQueue[flowID, queuedPart]
 	// timerPending is true while a queueTimer of the shard is pending.
 	timerPending bool
 }
@@ -36,6 +37,8 @@
 	// quota bounds the extra attempts if hasQuota is set; otherwise budgets do.
 	quota    retry.Quota
 	hasQuota bool
+	// hedges and retries share the quota among ranks and tenants.
+	hedges, retries fairness.Extras[ident.TenantID]
 	// distinctStarts is view.Service.DistinctStarts.
 	distinctStarts bool
 	// budgets are indexed by the rank of the class.
@@ -122,6 +125,9 @@
 		sh := s.shard(vr.Shard, v.Preset.QueueLength, len(v.Preset.Classes))
 		sh.Replicas = append(sh.Replicas, r)
 	}
+	for _, sh := range s.shards {
+		sh.queue.SetFloor(queueFloor(v))
+	}
 }
 
 func (s *service) updateReplica(now ident.Instant, v *view.View, vs *view.Service, vr *view.Replica, r *replica.State) {
@@ -159,7 +165,7 @@
 	if sh == nil {
 		sh = &shard{
 			Shard: replica.Shard{ID: id},
-			queue: container.NewQueue[queuedPart](queueLength, ranks),
+			queue: container.NewFairQueue[flowID, queuedPart](queueLength, ranks),
 		}
 		s.shards[id] = sh
 		s.shardOrder = append(s.shardOrder, id)
--- a/serve/traffic/loop.go
+++ b/serve/traffic/loop.go
@@ -13,6 +13,7 @@
 	"carawaycross.example/carawaycross/core/booking"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/usage"
 	"carawaycross.example/carawaycross/core/view"
 	bodies "carawaycross.example/carawaycross/internal/body"
 	"carawaycross.example/carawaycross/serve/clock"
@@ -41,6 +42,12 @@
 	Forward(ctx context.Context, vm ident.VMID, a node.Arrival) *node.Answer
 }
 
+// A UsageSharer asks another VM about the usage caps of tenants. It returns false if there
+// is no answer.
+type UsageSharer interface {
+	ShareUsage(ctx context.Context, e *usage.Exchange) (usage.Message, bool)
+}
+
 // A Config holds the dependencies of a Loop.
 type Config struct {
 	Core      *node.Core
@@ -49,6 +56,7 @@
 	Upstream  Upstream
 	Claimer   Claimer
 	Forwarder Forwarder
+	Usage     UsageSharer
 	// News receives evidence for control. While the channel is full, news is dropped.
 	News chan<- node.News
 	// Observe is called for each answer in the goroutine of the loop; it may be nil.
@@ -70,6 +78,8 @@
 	cutOffChanged
 	leaveRequested
 	stopRequested
+	usageAsked
+	usageShared
 )
 
 type event struct {
@@ -85,6 +95,7 @@
 	report  chan node.Report
 	cutOff  bool
 	stopsAt ident.Instant
+	usage   *usageEvent
 }
 
 // A waiter is a caller that waits for its answer.
@@ -94,6 +105,8 @@
 	// query is only accessed by the goroutine of the loop.
 	query   ident.QueryID
 	arrival node.Arrival
+	// holder is nil if nobody counts the memory of the request.
+	holder Holder
 	// reserved is the memory of the replies to the request. The goroutine of the loop
 	// writes it before it sends the answer.
 	reserved ident.Bytes
@@ -105,6 +118,13 @@
 	cancel context.CancelFunc
 }
 
+// A Holder keeps the memory of a request reserved while attempts refer to it.
+type Holder interface {
+	Retain()
+	// Done ends the use that a Retain began.
+	Done()
+}
+
 // A Loop is the event loop that owns one node.Core. Once it is started, its methods may
 // be called from several goroutines.
 type Loop struct {
@@ -118,7 +138,9 @@
 	installed *view.View
 	actions   []node.Action
 	// workers counts the goroutines that have not yet sent their result to the inbox.
-	workers     int
+	workers int
+	// skew is that of the clock at the previous iteration.
+	skew        time.Duration
 	droppedNews atomic.Uint64
 	inFlight    atomic.Int64
 	// mostlyUnserved and mostlyServed are the results of the methods of Core after the
@@ -182,7 +204,13 @@
 // Serve is Ask, but passes the answer to write. The memory of the replies that the
 // answer holds stays reserved until write returns.
 func (l *Loop) Serve(ctx context.Context, a node.Arrival, write func(*node.Answer)) {
-	w := &waiter{answer: make(chan *node.Answer, 1), arrival: a}
+	l.ServeHeld(ctx, a, nil, write)
+}
+
+// ServeHeld is Serve, and retains the holder for each attempt until the attempt has
+// ended, which may be after ServeHeld returns.
+func (l *Loop) ServeHeld(ctx context.Context, a node.Arrival, holder Holder, write func(*node.Answer)) {
+	w := &waiter{answer: make(chan *node.Answer, 1), arrival: a, holder: holder}
 	answer := l.await(ctx, w)
 	write(answer)
 	if answer != nil {
@@ -270,6 +298,7 @@
 			return
 		}
 		l.installView()
+		l.checkClock()
 		l.config.Core.Tick(l.config.Clock.Now())
 		l.performActions(workerCtx)
 		l.inFlight.Store(int64(l.config.Core.InFlight()))
@@ -284,9 +313,9 @@
 func (l *Loop) awaitWorkers() {
 	for l.workers > 0 {
 		switch e := <-l.inbox; e.kind {
-		case replied, claimed, forwarded:
+		case replied, claimed, forwarded, usageShared:
 			l.workers--
-		case arrived, cancelled, issueRequested, inspectRequested, cutOffChanged, leaveRequested, stopRequested:
+		case arrived, cancelled, issueRequested, inspectRequested, cutOffChanged, leaveRequested, stopRequested, usageAsked:
 		}
 	}
 }
@@ -347,6 +376,11 @@
 		l.config.Core.Leave(e.stopsAt)
 	case stopRequested:
 		core.Stop(now)
+	case usageAsked:
+		e.usage.answers <- core.ReceiveUsage(now, e.usage.from, e.usage.message)
+	case usageShared:
+		l.workers--
+		core.UsageShared(now, e.usage.exchange, e.usage.message, e.usage.ok)
 	}
 }
 
@@ -388,6 +422,8 @@
 			l.forward(ctx, *a)
 		case node.Notify:
 			l.sendNews(a.News)
+		case node.ShareUsage:
+			l.shareUsage(ctx, a.Usage)
 		}
 	}
 	clear(l.actions)
@@ -418,8 +454,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l.attempts[a.Attempt] = runningAttempt{a.Query, cancel}
 	l.workers++
+	done := func() {}
+	if w := l.waiters[a.Query]; w != nil && w.holder != nil {
+		w.holder.Retain()
+		done = w.holder.Done
+	}
 	go func() {
 		reply := l.config.Upstream.Send(ctx, &a)
+		done()
 		l.inbox <- event{kind: replied, reply: reply}
 	}()
 }
