mirror, watch: a VM that the store serves goes on reading it; bounds at 140 and 300 VMs

Cause (review): a VM that is no scout and read the store waited 1.5 s and more again after each read, and up to 15 s at 300 VMs, since the read itself counted as a new path. The test played one change at 60 VMs only.

Change: such a VM reads the store while that serves it. The spacing of later calls is 4 s at most, the patience is spread over the whole order, the listing after dropped history needs no wait, and the VM through which a read came last is asked first. A failed read of the list of VMs is repeated after three quarters of the interval instead of the next one.

--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -192,6 +192,14 @@
 	return c.version > 0 && len(c.path) == 0
 }
 
+// readsStore reports whether the store itself serves this VM: the last read succeeded and
+// came from it.
+func (c *Cache[T]) readsStore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.connected && c.version > 0 && len(c.path) == 0
+}
+
 // isRelayed reports whether this VM reads through one that is not its mirror.
 func (c *Cache[T]) isRelayed() bool {
 	c.mu.Lock()
--- a/serve/mirror/outage_test.go
+++ b/serve/mirror/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -107,18 +108,23 @@
 }
 
 // TestStoreThatServesOneVMReachesAll answers a store that refuses all VMs but one, which
-// is no scout: the others read through it.
+// is no scout: the others read through it, and it reads the store again for each change.
 func TestStoreThatServesOneVMReachesAll(t *testing.T) {
-	const vms = 60
-	for _, served := range []int{2, 17, vms - 1} {
-		o := newOutage(vms)
+	for _, tc := range []struct{ vms, served, changes int }{
+		{60, 2, 4}, {60, 20, 4}, {60, 30, 4}, {60, 59, 4}, {140, 70, 3}, {140, 139, 3}, {300, 299, 2},
+	} {
+		o := newOutage(tc.vms)
 		for i, s := range o.stores {
-			s.down = i != served
-			s.set("a", "2")
+			s.down = i != tc.served
 		}
-		o.run(applyWithin)
-		if n := o.behind(2); n > 0 {
-			t.Errorf("VM %d is served: %d VMs lack the change after %v", served, n, applyWithin)
+		for change := range tc.changes {
+			for _, s := range o.stores {
+				s.set("a", fmt.Sprint(change))
+			}
+			o.run(applyWithin)
+			if n := o.behind(o.stores[tc.served].version); n > 0 {
+				t.Errorf("VM %d of %d is served: %d VMs lack change %d after %v", tc.served, tc.vms, n, change, applyWithin)
+			}
 		}
 	}
 }
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -47,13 +47,14 @@
 	// read from a mirror and reads through others, because the store does not serve it.
 	storeRetryInterval = 3 * time.Second
 	// A VM that is no scout and whose mirrors answer that they are disconnected calls the
-	// store pathPatience after it lost its path, and later the further back it is in the
-	// order, up to maxPathPatience. By then most have a path through a scout. Later calls
-	// are callSpacing apart for each VM of the region.
-	pathPatience    = 1500 * time.Millisecond
-	patiencePerVM   = 15 * time.Millisecond
-	maxPathPatience = 2500 * time.Millisecond
-	callSpacing     = 50 * time.Millisecond
+	// store minPathPatience after it lost its path, and up to patienceSpread later the
+	// further back it is in the order. By then most have a path through a scout. Later
+	// calls are callSpacing apart for each VM of the region, at most
+	// maxStoreRetryInterval.
+	minPathPatience       = 1500 * time.Millisecond
+	patienceSpread        = time.Second
+	callSpacing           = 50 * time.Millisecond
+	maxStoreRetryInterval = 4 * time.Second
 	// maxPath is the most VMs through which a VM reads the store.
 	maxPath = 8
 )
@@ -177,7 +178,7 @@
 	}
 	r.cache.MarkDisconnected()
 	question = Question{Kind: r.Kind(), Disconnected: true}
-	for _, m := range r.selector.Others(r.time()) {
+	for _, m := range r.selector.Others(r.time(), r.relay()) {
 		if l, path, result := r.askListing(ctx, m, question); result == accepted {
 			r.cache.SetListingWhileDisconnected(l, path...)
 			return l, nil
@@ -199,10 +200,10 @@
 // mayCallStore reports whether this VM may call the store now that no mirror is
 // connected. If all VMs called it at once, an outage of the store would cost a call of
 // each VM whenever the VMs retry. The scouts of each zone call it at once, the others only
-// if no other VM responds, if they hold no objects yet, or if they had no path for long;
-// responded is true if a mirror responded.
+// if no other VM responds, if they hold no objects yet, if the store served their last
+// read, or if they had no path for long; responded is true if a mirror responded.
 func (r *Reader[T]) mayCallStore(responded bool) bool {
-	if r.selector.IsScout() || !responded || r.cache.Version() == 0 {
+	if r.selector.IsScout() || !responded || r.cache.Version() == 0 || r.cache.readsStore() {
 		return true
 	}
 	now := r.time()
@@ -210,8 +211,8 @@
 		r.pathLostAt = now
 	}
 	before, vms := r.selector.Position()
-	patience := min(pathPatience+time.Duration(before)*patiencePerVM, maxPathPatience)
-	interval := max(storeRetryInterval, time.Duration(vms)*callSpacing)
+	patience := minPathPatience + time.Duration(float64(patienceSpread)*float64(before)/float64(max(vms, 1)))
+	interval := min(max(storeRetryInterval, time.Duration(vms)*callSpacing), maxStoreRetryInterval)
 	return now.Sub(r.pathLostAt) >= patience && now.Sub(r.storeCalledAt) >= interval
 }
 
@@ -257,6 +258,8 @@
 	}
 	if r.shouldReadStore(responded) {
 		if changes, version, err = r.readStore(ctx, after, wait); err == nil || storeAnswered(err) {
+			// The listing that follows an answer needs no further wait.
+			r.storeCalledAt = time.Time{}
 			return changes, version, err
 		}
 		r.storeFailedAt = r.time()
@@ -309,9 +312,17 @@
 	return changes, version, nil
 }
 
+// relay returns the VM through which this VM last read without being its mirror, or "".
+func (r *Reader[T]) relay() ident.VMID {
+	if len(r.lastDetour.Path) == 0 {
+		return ""
+	}
+	return r.lastDetour.Path[0]
+}
+
 // askOthers asks VMs that are not mirrors of this one.
 func (r *Reader[T]) askOthers(ctx context.Context, after platform.StoreVersion, wait time.Duration) (Answer[T], bool) {
-	for _, m := range r.selector.Others(r.time()) {
+	for _, m := range r.selector.Others(r.time(), r.relay()) {
 		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait), Disconnected: true})
 		if result != accepted {
 			continue
--- a/serve/mirror/selector.go
+++ b/serve/mirror/selector.go
@@ -142,8 +142,9 @@
 // reached: those that follow this VM in the order, then those that precede it, so that
 // the members at the head of the order are not asked by all. They alternate between the
 // availability zones, because a VM that is cut off from one VM of a zone is often cut off
-// from all of them. A VM that is disconnected as a mirror may still have a path.
-func (s *Selector) Others(now time.Time) []Member {
+// from all of them. A VM that is disconnected as a mirror may still have a path. The VM
+// relay comes first: it had a path last.
+func (s *Selector) Others(now time.Time, relay ident.VMID) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.countBefore(s.regionOrder)
@@ -156,7 +157,17 @@
 	// Each call starts elsewhere, so that a VM with a path is found wherever it is.
 	s.othersTurn++
 	start := int(weight(s.self.VM+ident.VMID(strconv.Itoa(s.othersTurn))) % uint64(len(others)))
-	return slices.Concat(others[start:], others[:start])[:maxCandidates]
+	others = slices.Concat(others[start:], others[:start])
+	slices.SortStableFunc(others, func(a, b Member) int { return preference(a, relay) - preference(b, relay) })
+	return others[:maxCandidates]
+}
+
+// preference returns 0 for the VM relay and 1 for every other one.
+func preference(m Member, relay ident.VMID) int {
+	if m.VM == relay {
+		return 0
+	}
+	return 1
 }
 
 // alternateZones returns the members with the first one of each availability zone before
--- a/serve/watch/watch.go
+++ b/serve/watch/watch.go
@@ -137,8 +137,8 @@
 }
 
 // PollVMs reads the list of VMs periodically until the context is done. A failed read is
-// repeated soon only while there is no list: the old one serves until the next read, and
-// the VMs of a large deployment must not all call a store that fails.
+// repeated soon only while there is no list: the old one serves for a while, and the VMs
+// of a large deployment must not all call a store that fails.
 func (w *Watcher) PollVMs(ctx context.Context) {
 	backoff := platform.Backoff{MaxDelay: maxRetryDelay}
 	interval, listed := minListInterval, false
@@ -151,12 +151,20 @@
 		case !listed:
 			clock.Sleep(ctx, backoff.Next(rand.Float64()))
 			continue
+		default:
+			clock.Sleep(ctx, jittered(max(interval*3/4, minListInterval)))
+			continue
 		}
-		clock.Sleep(ctx, interval-time.Duration(rand.Float64()*listJitter*float64(interval)))
+		clock.Sleep(ctx, jittered(interval))
 		interval = min(2*interval, max(w.MaxListInterval, minListInterval))
 	}
 }
 
+// jittered shortens an interval at random by up to listJitter of it.
+func jittered(interval time.Duration) time.Duration {
+	return interval - time.Duration(rand.Float64()*listJitter*float64(interval))
+}
+
 // listJitter is the part of the interval between two reads of the list of VMs that is
 // random, so that VMs that started together do not read it together.
 const listJitter = 0.25
