usage: a VM that has just started is no grantor; quick handover of the shares

Cause: while VMs are restarted in turn, each one that came back was the first in the order of some tenants for the VMs that had read its entry, and not for the others, who read the list each 10 s.

Change: a VM is a grantor from 15 s after its start, which all VMs compute alike; VMs that started together are alike. A grantor returns its shares when the preferred one collects them, and a new pool asks each 100 ms for the shares that it lacks.

--- a/core/node/usage.go
+++ b/core/node/usage.go
@@ -38,7 +38,7 @@
 	peers := make([]usage.Peer, 0, v.Members.Len())
 	for vm, m := range v.Members.All {
 		if m.State == roster.Alive.String() {
-			peers = append(peers, usage.Peer{VM: vm, Address: m.Address})
+			peers = append(peers, usage.Peer{VM: vm, Address: m.Address, Started: ident.Instant(m.Incarnation)})
 		}
 	}
 	slices.SortFunc(peers, func(a, b usage.Peer) int { return cmp.Compare(a.VM, b.VM) })
--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -33,7 +33,10 @@
 func (l *Ledger) grant(now ident.Instant, a *account, from ident.VMID, ask Ask) Grant {
 	if a.pool == nil {
 		a.pool = newPool(now)
+		a.pool.preferred = l.preferred(now, a) == l.config.VM
 		l.collect(now, a)
+		a.pool.hurriedAt = now
+		l.schedule(now.Add(hurryInterval))
 	}
 	a.pool.activeUntil = now.Add(activeTime)
 	g := a.pool.grant(now, from, ask)
@@ -46,13 +49,33 @@
 	if loan, ok := l.lend(now, a, l.config.VM); ok {
 		a.pool.add(now, now, l.config.VM, loan)
 	}
-	for _, p := range l.peers {
-		if !slices.Contains(p.collects, a.tenant) {
+	l.collectFrom(a, func(ident.VMID) bool { return true })
+	l.queued = true
+	l.schedule(l.nextCollect)
+}
+
+// collectFrom queues questions for the shares of the selected VMs.
+func (l *Ledger) collectFrom(a *account, selected func(ident.VMID) bool) {
+	for vm, p := range l.peers {
+		if selected(vm) && !slices.Contains(p.collects, a.tenant) {
 			p.collects = append(p.collects, a.tenant)
 		}
 	}
 	l.queued = true
-	l.schedule(l.nextCollect)
+}
+
+// hurry asks again for the shares that a new pool lacks: the grantor before it may have
+// returned them meanwhile.
+func (l *Ledger) hurry(now ident.Instant, a *account) {
+	if now.Sub(a.pool.startedAt) > l.lease || now < a.pool.hurriedAt.Add(hurryInterval) || 2*len(a.pool.shares) > l.count {
+		return
+	}
+	a.pool.hurriedAt = now
+	l.collectFrom(a, func(vm ident.VMID) bool {
+		_, has := a.pool.shares[vm]
+		return !has && now >= l.peers[vm].suspectedUntil
+	})
+	l.schedule(now.Add(hurryInterval))
 }
 
 // dissolve ends the pool of a tenant and queues the returns to the lenders.
@@ -133,7 +156,7 @@
 		}
 	}
 	for _, ask := range m.Asks {
-		if a := l.account(ask.Tenant); a != nil && !l.leaving {
+		if a := l.account(ask.Tenant); a != nil && !l.leaving && l.settled(now, l.config.VM) {
 			answer.Grants = append(answer.Grants, l.grant(now, a, from, ask))
 		}
 	}
@@ -144,6 +167,9 @@
 	}
 	for _, id := range m.Collects {
 		if a := l.account(id); a != nil {
+			if a.pool != nil && l.preferred(now, a) == from {
+				l.dissolve(now, a)
+			}
 			if loan, ok := l.lend(now, a, from); ok {
 				answer.Loans = append(answer.Loans, loan)
 			}
@@ -225,13 +251,14 @@
 		if a.pool == nil {
 			continue
 		}
-		if now >= a.pool.activeUntil {
+		if now >= a.pool.activeUntil || (collects && a.pool.preferred && l.preferred(now, a) != l.config.VM) {
 			l.dissolve(now, a)
 			continue
 		}
 		if collects {
 			l.collect(now, a)
 		}
+		l.hurry(now, a)
 		l.schedule(l.nextCollect)
 	}
 }
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -25,6 +25,10 @@
 	// further failure, up to maxSuspicionTime, and ends with the next message of the VM.
 	suspicionTime    = time.Second
 	maxSuspicionTime = 16 * time.Second
+	// A VM is no grantor until settleTime after its start, when all VMs have read that it
+	// started. VMs that started within startSpread of the oldest one are alike.
+	settleTime  = 15 * time.Second
+	startSpread = 3 * time.Second
 	// The tenants of a group have the same grantor. There is a group for each vmsPerGroup
 	// VMs, at least minGroups. Fewer groups need fewer messages; with more, each grantor
 	// sends less, and fewer tenants depend on it.
@@ -87,10 +91,13 @@
 type Peer struct {
 	VM      ident.VMID
 	Address string
+	// Started is when the process of the VM started.
+	Started ident.Instant
 }
 
 type peerState struct {
 	address        string
+	started        ident.Instant
 	suspectedUntil ident.Instant
 	// failures counts the questions without an answer since the last message of the VM.
 	failures int
@@ -131,6 +138,8 @@
 	listed  int
 	fallsAt ident.Instant
 	lease   time.Duration
+	// oldest is the earliest start of a VM, this one included.
+	oldest ident.Instant
 	// groups is the number of groups of tenants with the same grantor.
 	groups int
 	// The VM's shares accrue no tokens before withheldUntil, while an earlier process of
@@ -252,13 +261,15 @@
 func (l *Ledger) setPeers(peers []Peer) {
 	changed := len(peers) != len(l.peers)
 	listed := make(map[ident.VMID]bool, len(peers))
+	l.oldest = l.config.Started
 	for _, p := range peers {
 		listed[p.VM] = true
+		l.oldest = min(l.oldest, p.Started)
 		if state := l.peers[p.VM]; state != nil {
-			state.address = p.Address
+			state.address, state.started = p.Address, p.Started
 			continue
 		}
-		l.peers[p.VM], changed = &peerState{address: p.Address}, true
+		l.peers[p.VM], changed = &peerState{address: p.Address, started: p.Started}, true
 	}
 	if !changed {
 		return
--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -24,7 +24,7 @@
 		for range rapid.IntRange(3, 14).Draw(t, "phases") {
 			for range rapid.IntRange(0, 3).Draw(t, "faults") {
 				vm := rapid.IntRange(0, n-1).Draw(t, "vm")
-				switch rapid.SampledFrom([]string{"cut", "heal", "restart", "freeze", "herd"}).Draw(t, "fault") {
+				switch rapid.SampledFrom([]string{"cut", "heal", "restart", "freeze", "herd", "leave"}).Draw(t, "fault") {
 				case "cut":
 					w.vms[vm].side = rapid.IntRange(0, 2).Draw(t, "side")
 				case "heal":
@@ -33,6 +33,8 @@
 					}
 				case "restart":
 					w.start(vm, false)
+				case "leave":
+					w.vms[vm].ledger.Leave(w.now)
 				case "freeze":
 					w.vms[vm].thawsAt = w.now.Add(time.Duration(rapid.IntRange(10, 6000).Draw(t, "ms")) * time.Millisecond)
 				case "herd":
@@ -122,6 +124,28 @@
 	}
 }
 
+// VMs restart one after the other, one each 1.5 s, while others read the list of VMs each
+// 10 s.
+func TestCapIsServedWhileVMsAreReplaced(t *testing.T) {
+	for seed := range uint64(6) {
+		for _, rate := range []float64{4, 40, 200} {
+			limit := tenant.Tenant{ID: ident.TenantID(rune('a' + seed)), Rate: ident.Rate(rate), Burst: ident.Tokens(rate)}
+			w := newWorld(seed, 32, limit)
+			w.advance(20*time.Second, 3, 0.62*rate/3)
+			w.times, w.offered = nil, 0
+			for i := range 24 {
+				w.vms[31-i].ledger.Leave(w.now)
+				w.advance(300*time.Millisecond, 3, 0.62*rate/3)
+				w.start(31-i, false)
+				w.advance(1200*time.Millisecond, 3, 0.62*rate/3)
+			}
+			if share := float64(len(w.times)) / float64(w.offered); share < 0.95 {
+				t.Errorf("seed %d, rate %v: %.3f of the requests were served", seed, rate, share)
+			}
+		}
+	}
+}
+
 const start = ident.Instant(time.Hour)
 
 func pair(limit tenant.Tenant, started ident.Instant) (owner, grantor *Ledger) {
--- a/core/usage/pool.go
+++ b/core/usage/pool.go
@@ -13,6 +13,8 @@
 	collectTime = 60 * time.Millisecond
 	// collectWait is the time after which to ask a grantor again that is collecting.
 	collectWait = 10 * time.Millisecond
+	// hurryInterval is the time after which a new pool asks again for the shares it lacks.
+	hurryInterval = 100 * time.Millisecond
 	// maxWait bounds the time for which a VM takes a pool as empty.
 	maxWait = time.Second
 )
@@ -31,7 +33,10 @@
 	tokens      ident.Tokens
 	accruedAt   ident.Instant
 	startedAt   ident.Instant
+	hurriedAt   ident.Instant
 	activeUntil ident.Instant
+	// preferred is true if this VM was the first in the order when the pool began.
+	preferred bool
 	// due is when the next token is due to each VM that got too few.
 	due map[ident.VMID]ident.Instant
 }
--- a/core/usage/share.go
+++ b/core/usage/share.go
@@ -127,7 +127,7 @@
 	if a.lentTo != from || now >= a.lentUntil {
 		return
 	}
-	a.lentUntil = now
+	a.lentUntil, a.collectedAt = now, 0
 	l.accrue(now, a)
 	a.tokens = min(a.tokens+max(tokens, 0), a.capacity/ident.Tokens(l.count))
 }
@@ -138,20 +138,44 @@
 	if a.order == nil {
 		a.order = l.grantorOrder(a.tenant)
 	}
+	young := l.config.VM
 	for _, vm := range a.order {
-		if vm == l.config.VM {
-			if !l.leaving {
-				return vm
-			}
+		if (vm == l.config.VM && l.leaving) || (vm != l.config.VM && now < l.peers[vm].suspectedUntil) {
 			continue
 		}
-		if now >= l.peers[vm].suspectedUntil {
+		if l.settled(now, vm) {
+			return vm
+		}
+		if young == l.config.VM {
+			young = vm
+		}
+	}
+	return young
+}
+
+// preferred returns the first VM in the tenant's order, whether or not it is suspected.
+func (l *Ledger) preferred(now ident.Instant, a *account) ident.VMID {
+	if a.order == nil {
+		a.order = l.grantorOrder(a.tenant)
+	}
+	for _, vm := range a.order {
+		if l.settled(now, vm) {
 			return vm
 		}
 	}
 	return l.config.VM
 }
 
+// settled reports whether a VM may be a grantor. All VMs change to a VM that started at the
+// same time, since each of them knows when it did.
+func (l *Ledger) settled(now ident.Instant, vm ident.VMID) bool {
+	started := l.config.Started
+	if p := l.peers[vm]; p != nil {
+		started = p.started
+	}
+	return now.Sub(started) >= settleTime || started.Sub(l.oldest) <= startSpread
+}
+
 // grantorOrder returns this VM and its peers in the rendezvous order of a tenant's group.
 func (l *Ledger) grantorOrder(tenant ident.TenantID) []ident.VMID {
 	order := make([]ident.VMID, 0, len(l.peers)+1)
--- a/core/usage/world_test.go
+++ b/core/usage/world_test.go
@@ -14,6 +14,7 @@
 	step = 2 * time.Millisecond
 	// exchangeTimeout is the time after which a question without an answer has failed.
 	exchangeTimeout = 150 * time.Millisecond
+	listInterval    = 10 * time.Second
 )
 
 // A testVM is one VM of a world. A frozen VM does nothing until thawsAt.
@@ -21,6 +22,9 @@
 	id      ident.VMID
 	ledger  *Ledger
 	thawsAt ident.Instant
+	started ident.Instant
+	// listAt is when the VM next reads the list of VMs.
+	listAt ident.Instant
 	// side numbers the part of the network that the VM reaches.
 	side     int
 	admitted int
@@ -59,7 +63,7 @@
 		bounds: Bounds{Window: 5 * time.Second, Overshoot: 0.1, Allowance: 20},
 	}
 	for i := range n {
-		w.vms = append(w.vms, &testVM{id: ident.VMID(fmt.Sprintf("vm-%d", i)), waits: map[ident.QueryID]bool{}})
+		w.vms = append(w.vms, &testVM{id: ident.VMID(fmt.Sprintf("vm-%d", i)), started: w.now, waits: map[ident.QueryID]bool{}})
 	}
 	for i := range w.vms {
 		w.start(i, true)
@@ -70,6 +74,7 @@
 // start starts a new process of a VM.
 func (w *world) start(i int, first bool) {
 	vm := w.vms[i]
+	vm.started, vm.listAt = w.now, w.now.Add(time.Duration(w.random.Float64()*float64(listInterval)))
 	vm.ledger = New(Config{VM: vm.id, Started: w.now, FirstStart: first})
 	clear(vm.waits)
 	w.install(i, len(w.vms))
@@ -80,7 +85,7 @@
 	var peers []Peer
 	for j, other := range w.vms[:n] {
 		if j != i {
-			peers = append(peers, Peer{VM: other.id})
+			peers = append(peers, Peer{VM: other.id, Started: other.started})
 		}
 	}
 	w.vms[i].ledger.Install(w.now, []tenant.Tenant{w.cap}, peers, n, w.bounds)
@@ -120,6 +125,10 @@
 			if i < k && w.random.Float64() < perSecond*step.Seconds() {
 				w.arrive(i)
 			}
+			if w.now >= vm.listAt {
+				vm.listAt = w.now.Add(listInterval)
+				w.install(i, len(w.vms))
+			}
 			vm.ledger.Tick(w.now)
 			for _, e := range vm.ledger.Exchanges(w.now, nil) {
 				w.messages++
