--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -144,38 +144,59 @@
 
 // Receive answers a question of another VM.
 func (l *Ledger) Receive(now ident.Instant, from ident.VMID, m Message) Message {
-	var answer Message
 	if p := l.peers[from]; p != nil && len(m.Asks)+len(m.Collects) > 0 {
 		p.suspectedUntil, p.failures = 0, 0
 	}
 	if m.Restarted {
-		for _, a := range l.accounts {
-			if a.pool != nil {
-				a.pool.drop(now, from)
-			}
-		}
-	}
-	for _, ask := range m.Asks {
-		if a := l.account(ask.Tenant); a != nil && !l.leaving && l.settled(now, l.config.VM) {
-			answer.Grants = append(answer.Grants, l.grant(now, a, from, ask))
-		}
+		l.dropShares(now, from)
 	}
 	for _, r := range m.Returns {
 		if a := l.accounts[r.Tenant]; a != nil {
 			l.endLoan(now, a, from, r.Tokens)
 		}
 	}
-	for _, id := range m.Collects {
-		if a := l.account(id); a != nil {
-			if a.pool != nil && l.preferred(now, a) == from {
-				l.dissolve(now, a)
-			}
-			if loan, ok := l.lend(now, a, from); ok {
-				answer.Loans = append(answer.Loans, loan)
-			}
+	return Message{Grants: l.grants(now, from, m.Asks), Loans: l.loans(now, from, m.Collects)}
+}
+
+// dropShares removes the shares of a VM from all pools.
+func (l *Ledger) dropShares(now ident.Instant, vm ident.VMID) {
+	for _, a := range l.accounts {
+		if a.pool != nil {
+			a.pool.drop(now, vm)
+		}
+	}
+}
+
+// grants answers asks; none if this VM is no grantor.
+func (l *Ledger) grants(now ident.Instant, from ident.VMID, asks []Ask) []Grant {
+	if l.leaving || !l.settled(now, l.config.VM) {
+		return nil
+	}
+	var out []Grant
+	for _, ask := range asks {
+		if a := l.account(ask.Tenant); a != nil {
+			out = append(out, l.grant(now, a, from, ask))
+		}
+	}
+	return out
+}
+
+// loans lends shares. A pool of this VM ends when the preferred grantor collects.
+func (l *Ledger) loans(now ident.Instant, to ident.VMID, tenants []ident.TenantID) []Loan {
+	var out []Loan
+	for _, id := range tenants {
+		a := l.account(id)
+		if a == nil {
+			continue
+		}
+		if a.pool != nil && l.preferred(now, a) == to {
+			l.dissolve(now, a)
+		}
+		if loan, ok := l.lend(now, a, to); ok {
+			out = append(out, loan)
 		}
 	}
-	return answer
+	return out
 }
 
 // record records whether a VM answered.
