--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -204,7 +204,10 @@
 	p.outstanding = nil
 	l.queued = true
 	if !ok {
-		l.suspect(now, p)
+		// VMs that start together do not reach each other at once.
+		if !e.Message.Restarted {
+			l.suspect(now, p)
+		}
 		p.informAt = now.Add(informInterval)
 		l.schedule(p.informAt)
 		return
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -20,7 +20,7 @@
 	// holdTime bounds the time for which a request waits for the grantor's answer.
 	holdTime = 250 * time.Millisecond
 	// informInterval is the time after which a VM that did not answer is informed again.
-	informInterval = 200 * time.Millisecond
+	informInterval = 100 * time.Millisecond
 	// suspicionTime is how long a VM that did not answer is not asked. It doubles with each
 	// further failure, up to maxSuspicionTime, and ends with the next message of the VM.
 	suspicionTime    = time.Second
