--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -33,7 +33,10 @@
 func (l *Ledger) grant(now ident.Instant, a *account, from ident.VMID, ask Ask) Grant {
 	if a.pool == nil {
 		a.pool = newPool(now)
+		a.pool.preferred = l.preferred(now, a) == l.config.VM
 		l.collect(now, a)
+		a.pool.hurriedAt = now
+		l.schedule(now.Add(hurryInterval))
 	}
 	a.pool.activeUntil = now.Add(activeTime)
 	g := a.pool.grant(now, from, ask)
@@ -46,13 +49,33 @@
 	if loan, ok := l.lend(now, a, l.config.VM); ok {
 		a.pool.add(now, now, l.config.VM, loan)
 	}
-	for _, p := range l.peers {
-		if !slices.Contains(p.collects, a.tenant) {
+	l.collectFrom(a, func(ident.VMID) bool { return true })
+	l.queued = true
+	l.schedule(l.nextCollect)
+}
+
+// collectFrom queues questions for the shares of the selected VMs.
+func (l *Ledger) collectFrom(a *account, selected func(ident.VMID) bool) {
+	for vm, p := range l.peers {
+		if selected(vm) && !slices.Contains(p.collects, a.tenant) {
 			p.collects = append(p.collects, a.tenant)
 		}
 	}
 	l.queued = true
-	l.schedule(l.nextCollect)
+}
+
+// hurry asks again for the shares that a new pool lacks: the grantor before it may have
+// returned them meanwhile.
+func (l *Ledger) hurry(now ident.Instant, a *account) {
+	if now.Sub(a.pool.startedAt) > l.lease || now < a.pool.hurriedAt.Add(hurryInterval) || 2*len(a.pool.shares) > l.count {
+		return
+	}
+	a.pool.hurriedAt = now
+	l.collectFrom(a, func(vm ident.VMID) bool {
+		_, has := a.pool.shares[vm]
+		return !has && now >= l.peers[vm].suspectedUntil
+	})
+	l.schedule(now.Add(hurryInterval))
 }
 
 // dissolve ends the pool of a tenant and queues the returns to the lenders.
@@ -121,35 +144,59 @@
 
 // Receive answers a question of another VM.
 func (l *Ledger) Receive(now ident.Instant, from ident.VMID, m Message) Message {
-	var answer Message
 	if p := l.peers[from]; p != nil && len(m.Asks)+len(m.Collects) > 0 {
 		p.suspectedUntil, p.failures = 0, 0
 	}
 	if m.Restarted {
-		for _, a := range l.accounts {
-			if a.pool != nil {
-				a.pool.drop(now, from)
-			}
-		}
-	}
-	for _, ask := range m.Asks {
-		if a := l.account(ask.Tenant); a != nil && !l.leaving {
-			answer.Grants = append(answer.Grants, l.grant(now, a, from, ask))
-		}
+		l.dropShares(now, from)
 	}
 	for _, r := range m.Returns {
 		if a := l.accounts[r.Tenant]; a != nil {
 			l.endLoan(now, a, from, r.Tokens)
 		}
 	}
-	for _, id := range m.Collects {
-		if a := l.account(id); a != nil {
-			if loan, ok := l.lend(now, a, from); ok {
-				answer.Loans = append(answer.Loans, loan)
-			}
+	return Message{Grants: l.grants(now, from, m.Asks), Loans: l.loans(now, from, m.Collects)}
+}
+
+// dropShares removes the shares of a VM from all pools.
+func (l *Ledger) dropShares(now ident.Instant, vm ident.VMID) {
+	for _, a := range l.accounts {
+		if a.pool != nil {
+			a.pool.drop(now, vm)
+		}
+	}
+}
+
+// grants answers asks; none if this VM is no grantor.
+func (l *Ledger) grants(now ident.Instant, from ident.VMID, asks []Ask) []Grant {
+	if l.leaving || !l.settled(now, l.config.VM) {
+		return nil
+	}
+	var out []Grant
+	for _, ask := range asks {
+		if a := l.account(ask.Tenant); a != nil {
+			out = append(out, l.grant(now, a, from, ask))
+		}
+	}
+	return out
+}
+
+// loans lends shares. A pool of this VM ends when the preferred grantor collects.
+func (l *Ledger) loans(now ident.Instant, to ident.VMID, tenants []ident.TenantID) []Loan {
+	var out []Loan
+	for _, id := range tenants {
+		a := l.account(id)
+		if a == nil {
+			continue
+		}
+		if a.pool != nil && l.preferred(now, a) == to {
+			l.dissolve(now, a)
+		}
+		if loan, ok := l.lend(now, a, to); ok {
+			out = append(out, loan)
 		}
 	}
-	return answer
+	return out
 }
 
 // record records whether a VM answered.
@@ -157,7 +204,10 @@
 	p.outstanding = nil
 	l.queued = true
 	if !ok {
-		l.suspect(now, p)
+		// VMs that start together do not reach each other at once.
+		if !e.Message.Restarted {
+			l.suspect(now, p)
+		}
 		p.informAt = now.Add(informInterval)
 		l.schedule(p.informAt)
 		return
@@ -225,13 +275,14 @@
 		if a.pool == nil {
 			continue
 		}
-		if now >= a.pool.activeUntil {
+		if now >= a.pool.activeUntil || (collects && a.pool.preferred && l.preferred(now, a) != l.config.VM) {
 			l.dissolve(now, a)
 			continue
 		}
 		if collects {
 			l.collect(now, a)
 		}
+		l.hurry(now, a)
 		l.schedule(l.nextCollect)
 	}
 }
