--- a/core/node/recovery_test.go
+++ b/core/node/recovery_test.go
@@ -1,9 +1,11 @@
 package node_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"carawaycross.example/carawaycross/core/node"
 	"carawaycross.example/carawaycross/core/view"
 )
 
@@ -39,3 +41,34 @@
 		t.Fatalf("two seconds later the replicas got %v", got)
 	}
 }
+
+// TestAllReplicasStartTogether checks that searches are served at once when all replicas of
+// all shards start together, as in a restart of the whole service, with 140 VMs: there is no
+// other replica to spare them for.
+func TestAllReplicasStartTogether(t *testing.T) {
+	sim := newRoutedSimulation(1, node.Routed(), 10, 3, 4)
+	sim.shareLimits(140, 344)
+	load := sim.urgent()
+	sim.scheduleArrivals(load, sim.now.Add(2*time.Second))
+	sim.run()
+	next := *sim.view
+	next.Services = nil
+	for _, s := range sim.view.Services {
+		s.Replicas = slices.Clone(s.Replicas)
+		for i := range s.Replicas {
+			s.Replicas[i].Incarnation, s.Replicas[i].Rank = 2, 70+i
+		}
+		next.Services = append(next.Services, s)
+	}
+	sim.core.Install(sim.now, &next)
+	before := *sim.outcomes["urgent"]
+	sim.scheduleArrivals(load, sim.now.Add(time.Second))
+	sim.run()
+	sim.reportFailures(t)
+	after := sim.outcomes["urgent"]
+	arrived, value := after.arrived-before.arrived, after.value-before.value
+	t.Logf("%d searches with a mean value of %.3f in the first second", arrived, value/float64(arrived))
+	if value < 0.95*float64(arrived) {
+		t.Errorf("a mean value of %.3f in the first second, expected 0.95", value/float64(arrived))
+	}
+}
