--- a/core/roster/share.go
+++ b/core/roster/share.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 
@@ -66,6 +67,32 @@
 	return rank
 }
 
+// First returns the first n VMs in the order of the subject, without those to skip.
+func (o *RendezvousOrder) First(subject string, n int, skip func(ident.VMID) bool) []ident.VMID {
+	base := xxhash.Sum64String(subject)
+	type candidate struct {
+		vm     ident.VMID
+		weight uint64
+	}
+	candidates := make([]candidate, 0, len(o.vms))
+	for i, vm := range o.vms {
+		if !skip(vm) {
+			candidates = append(candidates, candidate{vm, rendezvousWeight(base, o.hashes[i])})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.vm, b.vm))
+	})
+	var out []ident.VMID
+	for _, c := range candidates[:min(n, len(candidates))] {
+		out = append(out, c.vm)
+	}
+	return out
+}
+
+// Len returns the number of VMs.
+func (o *RendezvousOrder) Len() int { return len(o.vms) }
+
 // WatchersPerZone is the number of VMs per zone that watch the platform.
 const WatchersPerZone = 2
 
--- a/shape_test.go
+++ b/shape_test.go
@@ -19,7 +19,7 @@
 var decisionPackages = []string{
 	"ident", "policy", "container", "preset", "config", "snapshot", "coverage", "replica",
 	"retry", "admission", "poison", "booking", "view", "node", "roster", "news", "control",
-	"route", "passage", "merge", "catalogue", "tenant",
+	"route", "passage", "merge", "catalogue", "rollout", "tenant",
 }
 
 // allowedImports are the packages that a decision package may import besides other
