node: choose replicas by version while an order is in progress

Cause: the traffic core did not know which version a replica runs.

Change: a view may hold a plan for a service. While it does, each choice of a replica picks from the version whose turn it is, hedges, retries and queued parts included, and the ends of attempts are counted as evidence, which goes to control through the news channel. Without a plan, a choice makes one more comparison per replica.

--- a/core/node/action.go
+++ b/core/node/action.go
@@ -10,6 +10,7 @@
 	"carawaycross.example/carawaycross/core/passage"
 	"carawaycross.example/carawaycross/core/poison"
 	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/rollout"
 )
 
 // A ActionKind selects the operation of an Action and thereby the fields that are set.
@@ -71,6 +72,9 @@
 	Leaving NewsKind = "leaving"
 	Lost    NewsKind = "lost"
 	Crash   NewsKind = "crash"
+	// Rollout carries the evidence about an order in progress. Control does not distribute
+	// it as news.
+	Rollout NewsKind = "rollout"
 )
 
 // News is evidence that control distributes to the other VMs.
@@ -80,6 +84,8 @@
 	Fingerprint poison.Fingerprint
 	// Crashes counts the rounds in which the request of a Crash lost its upstream.
 	Crashes int
+	// Rollout is set for the kind Rollout.
+	Rollout *rollout.Evidence
 }
 
 // A Part is the result of one shard or, on a route, of one service.
--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -30,6 +30,7 @@
 	q.firstAttempts++
 	q.parts[i].svc.budget(q.rank).CountFirst(now, q.preset.ExtraShare, q.preset.FaultExtraShare)
 	q.parts[i].svc.quota.CountFirst(now)
+	q.parts[i].svc.countFirst()
 	c.sendAttempt(now, q, i, r)
 }
 
@@ -48,17 +49,17 @@
 func (c *Core) chooseHedgeReplica(now ident.Instant, q *query, p *part) *replica.State {
 	in := c.newSelection(now, q, p)
 	in.Overcommit = 1
-	return c.policies.Choice.Decide(in)
+	return c.decide(in, p.svc)
 }
 
 // chooseReplica picks a replica that the part has not tried. With allowTried set, it
 // falls back to any eligible replica.
 func (c *Core) chooseReplica(now ident.Instant, q *query, p *part, allowTried bool) *replica.State {
 	in := c.newSelection(now, q, p)
-	r := c.policies.Choice.Decide(in)
+	r := c.decide(in, p.svc)
 	if r == nil && allowTried && p.attemptCount > 0 {
 		in.Tried = nil
-		r = c.policies.Choice.Decide(in)
+		r = c.decide(in, p.svc)
 	}
 	return r
 }
@@ -80,6 +81,7 @@
 	p := &q.parts[i]
 	h := c.attempts.Put(attempt{
 		query: q.handle, part: i, replica: r, svc: p.svc, profile: q.profile, shard: p.shard, sent: now, requestedSnapshot: q.snapshot,
+		route: q.routeName(),
 	})
 	p.state = partInFlight
 	p.inFlight[p.inFlightCount] = h
@@ -87,6 +89,7 @@
 	p.tried[p.attemptCount] = r
 	p.attemptCount++
 	r.Sent(now)
+	c.countSent(now, p.svc, r)
 	c.actions = append(c.actions, Action{
 		Kind: Send, Query: ident.QueryID(q.handle), Attempt: ident.AttemptID(h),
 		Replica: r.ID, Address: r.Address, Connections: r.Shares.ConnectionShare(),
@@ -133,7 +136,7 @@
 // serveQueue sends attempts for queued parts while the shard has a free slot. A part
 // that can be deferred moves behind those that cannot.
 func (c *Core) serveQueue(now ident.Instant, svc *service, sh *shard) {
-	for sh.queue.Len() > 0 && sh.hasFreeSlot(now) {
+	for sh.queue.Len() > 0 && sh.hasFreeSlot(now, svc) {
 		queued, _ := sh.queue.Pop()
 		q := c.query(ident.QueryID(queued.query))
 		if q == nil || q.answered || queued.part >= len(q.parts) || q.parts[queued.part].state != partQueued {
@@ -166,12 +169,12 @@
 	}
 }
 
-func (sh *shard) hasFreeSlot(now ident.Instant) bool {
+func (sh *shard) hasFreeSlot(now ident.Instant, svc *service) bool {
 	if sh.Usable(now) == 0 {
 		return false
 	}
 	for _, r := range sh.Replicas {
-		if r.CanSend(now) {
+		if r.CanSend(now) && svc.mayChoose(r) {
 			return true
 		}
 	}
@@ -244,6 +247,7 @@
 	}
 	r.ReportedLoad = reply.Load
 	took := now.Sub(a.sent)
+	a.recordRollout(now, reply.Outcome)
 	r.RecordResult(now, replica.AttemptResult{Outcome: reply.Outcome, Took: took, MedianLatency: a.profile.latency.Median(now)})
 	if reply.Outcome == replica.OK {
 		a.profile.latency.Record(now, took)
@@ -347,6 +351,7 @@
 func (c *Core) recordAborted(now ident.Instant, a *attempt) {
 	took := now.Sub(a.sent)
 	median := a.profile.latency.Median(now)
+	a.recordRollout(now, replica.Aborted)
 	a.replica.RecordResult(now, replica.AttemptResult{Outcome: replica.Aborted, Took: took, MedianLatency: median})
 	if median > 0 && took >= median {
 		a.profile.latency.Record(now, took)
--- a/core/node/core.go
+++ b/core/node/core.go
@@ -56,6 +56,7 @@
 	queueTimer
 	goalTimer
 	lingerTimer
+	rolloutTimer
 )
 
 type timer struct {
@@ -172,6 +173,7 @@
 			c.services[vs.ID] = svc
 		}
 		svc.install(now, c.config.Started, v, vs, &c.departures)
+		c.scheduleRollout(now, svc)
 		for _, id := range svc.shardOrder {
 			c.serveQueue(now, svc, svc.shards[id])
 		}
@@ -324,6 +326,9 @@
 		case lingerTimer:
 			c.abort(now, t.attempt)
 			continue
+		case rolloutTimer:
+			c.reportRollout(now, t.svc)
+			continue
 		case deadlineTimer, hedgeTimer, retryTimer, goalTimer:
 		}
 		q := c.query(ident.QueryID(t.query))
@@ -339,7 +344,7 @@
 			c.resumeParked(now, q, t.part)
 		case goalTimer:
 			c.handleGoal(now, q)
-		case queueTimer, lingerTimer:
+		case queueTimer, lingerTimer, rolloutTimer:
 		}
 	}
 }
--- a/core/node/query.go
+++ b/core/node/query.go
@@ -86,6 +86,8 @@
 	sent    ident.Instant
 	// requestedSnapshot is 0 if the attempt accepts the newest snapshot of the replica.
 	requestedSnapshot ident.SnapshotID
+	// route is empty for a search or booking.
+	route ident.RouteID
 }
 
 // A query is the state of one request in progress.
--- /dev/null
+++ b/core/node/rollout.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"time"
+
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/replica"
+	"carawaycross.example/carawaycross/core/rollout"
+)
+
+const (
+	// rolloutReportInterval is the time between two reports of evidence to control.
+	rolloutReportInterval = 200 * time.Millisecond
+	// settleTime is how long a replica that this VM did not know may be slower than usual.
+	settleTime = 3 * time.Second
+)
+
+// A serviceRollout is the state of a service's traffic while an order moves it to another
+// version.
+type serviceRollout struct {
+	plan     *rollout.Plan
+	exposure rollout.Exposure
+	tally    rollout.Tally
+	// timerPending is true while a rolloutTimer of the service is pending.
+	timerPending bool
+	// firstSent holds when this VM sent the first attempt to each replica of the target.
+	firstSent map[*replica.State]ident.Instant
+}
+
+// installRollout updates the service to the plan of a view; nil ends the rollout. A new
+// order begins with new counts.
+func (s *service) installRollout(plan *rollout.Plan) {
+	switch {
+	case plan == nil:
+		s.rollout = nil
+	case s.rollout == nil || s.rollout.plan.Order != plan.Order:
+		s.rollout = &serviceRollout{
+			plan: plan, exposure: rollout.NewExposure(plan), firstSent: map[*replica.State]ident.Instant{},
+		}
+	default:
+		s.rollout.plan = plan
+	}
+}
+
+func (s *service) isTarget(software ident.Software) bool {
+	return s.rollout != nil && software == s.rollout.plan.Order.Target
+}
+
+// decide picks a replica. While an order moves the service to another version, it picks one
+// of the version whose turn it is. At Takeover, the other versions get attempts only while no
+// replica of the target is usable; before, the target gets none beyond its part.
+func (c *Core) decide(in *replica.Selection, svc *service) *replica.State {
+	ro := svc.rollout
+	if ro == nil {
+		return c.policies.Choice.Decide(in)
+	}
+	if ro.exposure.Prefers(ro.plan) {
+		in.Versions = replica.OnlyTarget
+		if r := c.policies.Choice.Decide(in); r != nil {
+			return r
+		}
+		if ro.plan.Step == rollout.Takeover && targetUsable(in) {
+			return nil
+		}
+	}
+	in.Versions = replica.OnlyOthers
+	return c.policies.Choice.Decide(in)
+}
+
+func targetUsable(in *replica.Selection) bool {
+	for _, r := range in.Shard.Replicas {
+		if r.Target && r.Usable(in.Now) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayChoose reports whether the order in progress, if any, lets queued parts go to a replica.
+func (s *service) mayChoose(r *replica.State) bool {
+	return s.rollout == nil || !r.Target || s.rollout.exposure.Prefers(s.rollout.plan)
+}
+
+func (s *service) countFirst() {
+	if s.rollout != nil {
+		s.rollout.exposure.CountFirst(s.rollout.plan)
+	}
+}
+
+func (c *Core) countSent(now ident.Instant, svc *service, r *replica.State) {
+	if svc.rollout == nil || !r.Target {
+		return
+	}
+	svc.rollout.exposure.CountTarget()
+	if _, ok := svc.rollout.firstSent[r]; !ok {
+		svc.rollout.firstSent[r] = now
+	}
+}
+
+// recordRollout counts the end of an attempt as evidence about the version of its replica.
+// Only answers count, and attempts that were cancelled when an answer was overdue: a lost
+// replica does not convict its version.
+func (a *attempt) recordRollout(now ident.Instant, o replica.Outcome) {
+	ro := a.svc.rollout
+	if ro == nil || (o != replica.OK && o != replica.Failed && o != replica.Aborted) {
+		return
+	}
+	r := a.replica
+	ro.tally.Record(rollout.Result{
+		Cell: rollout.Cell{Route: a.route, Replica: r.ID}, Zone: r.Zone, Target: r.Target,
+		Failed: o == replica.Failed, Aborted: o == replica.Aborted, Took: now.Sub(a.sent),
+		Settling: now < r.ColdUntil || r.Condition(now) == replica.Cold || (r.Target && now.Sub(ro.firstSent[r]) < settleTime),
+	})
+}
+
+// scheduleRollout sets a timer for the next report of a service whose order is in progress.
+func (c *Core) scheduleRollout(now ident.Instant, svc *service) {
+	if svc.rollout == nil || svc.rollout.timerPending {
+		return
+	}
+	svc.rollout.timerPending = true
+	c.timers.Add(now.Add(rolloutReportInterval), timer{kind: rolloutTimer, svc: svc})
+}
+
+// reportRollout reports the evidence of a service to control.
+func (c *Core) reportRollout(now ident.Instant, svc *service) {
+	ro := svc.rollout
+	if ro == nil {
+		return
+	}
+	first, sent := ro.exposure.Sent()
+	e := &rollout.Evidence{
+		Service: svc.id, Order: ro.plan.Order, Step: ro.plan.Step, Cells: ro.tally.Cells(), First: first, Sent: sent,
+	}
+	for _, sh := range svc.shards {
+		for _, r := range sh.Replicas {
+			if !r.Target {
+				e.OthersInFlight += r.InFlight
+			}
+		}
+	}
+	c.notify(News{Kind: Rollout, Rollout: e})
+	ro.timerPending = false
+	c.scheduleRollout(now, svc)
+}
+
+// routeName returns the name of the query's route; empty for a search or booking.
+func (q *query) routeName() ident.RouteID {
+	if q.arrival.Route == nil {
+		return ""
+	}
+	return q.arrival.Route.Name
+}
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -38,6 +38,8 @@
 	hasQuota bool
 	// distinctStarts is view.Service.DistinctStarts.
 	distinctStarts bool
+	// rollout is set while an order moves the service to another version.
+	rollout *serviceRollout
 	// budgets are indexed by the rank of the class.
 	budgets []retry.Budget
 	// chosenSnapshot and chosenMap cache the choice of snapshot until choiceStale is set.
@@ -93,6 +95,7 @@
 	s.distinctStarts = vs.DistinctStarts
 	s.quota.SetLimits(vs.QuotaLimits, v.VMs)
 	s.quota.Withhold(started)
+	s.installRollout(vs.Rollout)
 	if n := len(v.Preset.Classes); len(s.budgets) != n {
 		s.budgets = make([]retry.Budget, max(n, 1))
 	}
@@ -124,6 +127,7 @@
 	returned := r.Out && !vr.Out
 	r.Out = vr.Out
 	r.ColdUntil = vr.ColdUntil
+	r.Target = s.isTarget(vr.Software)
 	r.Shares = replica.Shares{
 		Slots: vs.Slots, Connections: vs.Connections,
 		VMs: v.VMs, Rank: vr.Rank, RampStep: v.Preset.RampStep, ColdRate: vs.ColdRate,
--- a/core/replica/choice.go
+++ b/core/replica/choice.go
@@ -26,15 +26,33 @@
 	AtMostOnce bool
 	// MedianLatency is the median latency of the request's class; 0 while unknown.
 	MedianLatency time.Duration
+	// Versions restricts the choice while an order moves the service to another version.
+	Versions Versions
 	// Overcommit is the number of attempts allowed above the limit of a warm
 	// replica. Hedges use it: the attempt that they duplicate is overdue at another
 	// replica.
 	Overcommit int
 }
 
+// Versions says which versions of the software a choice may pick.
+type Versions uint8
+
+// The zero value does not restrict a choice.
+const (
+	AnyVersion Versions = iota
+	// OnlyTarget and OnlyOthers pick replicas of the version to which the service moves,
+	// and of the others.
+	OnlyTarget
+	OnlyOthers
+)
+
+func (v Versions) include(r *State) bool {
+	return v == AnyVersion || (v == OnlyTarget) == r.Target
+}
+
 // Eligible reports whether the attempt may be sent to r now.
 func (in *Selection) Eligible(r *State) bool {
-	return r.Usable(in.Now) && r.InFlight < r.Limit(in.Now)+in.overcommit(r) && r.coldRateAllows(in.Now) &&
+	return in.Versions.include(r) && r.Usable(in.Now) && r.InFlight < r.Limit(in.Now)+in.overcommit(r) && r.coldRateAllows(in.Now) &&
 		in.Holds(r) && !in.tried(r)
 }
 
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -138,6 +138,8 @@
 	ReportedLoad uint32
 	// Out is true while operators keep the replica's zone or VM out of service.
 	Out bool
+	// Target is true while an order moves the service to the version that the replica runs.
+	Target bool
 	// Incarnation distinguishes successive processes of a replica under one ID; 0
 	// if unknown.
 	Incarnation ident.Incarnation
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -11,6 +11,7 @@
 	"carawaycross.example/carawaycross/core/poison"
 	"carawaycross.example/carawaycross/core/preset"
 	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/rollout"
 	"carawaycross.example/carawaycross/core/route"
 	"carawaycross.example/carawaycross/core/snapshot"
 	"carawaycross.example/carawaycross/core/tenant"
@@ -62,6 +63,9 @@
 	// DistinctStarts is true if each start of a replica has an ID or an incarnation of
 	// its own.
 	DistinctStarts bool
+	// Rollout is the order that moves the service to another version of its software; nil
+	// without one in progress.
+	Rollout *rollout.Plan
 	// ColdRate is the request rate that a cold replica tolerates over all VMs; 0 for
 	// no limit.
 	ColdRate ident.Rate
