rollouts: orders from the store to traffic, reports between VMs, statuses to the store

Cause: the decisions of core/rollout had no inputs and no effect.

Change: a fifth mirrored feed reads the orders; it exists only where the settings bound rollouts. Control publishes plans and withholds versions, exchanges reports with the first two VMs in the order of the service while an order is in progress, and writes the stage under the condition of the version that was read. The stand-in of the store keeps statuses. Logs, and expvar variables by service and version.

Result: go test ./platform -ginkgo.focus 'a rollout' passes (28 s): three VMs, replicas of two versions; a good one is completed and no request is lost when the old replicas stop, a bad one is rolled back within its bound, and the state is written although answers of the store are lost.

--- a/carawaycross.go
+++ b/carawaycross.go
@@ -102,6 +102,7 @@
 	a.options.Discovery = &vm.Discovery{
 		UpstreamClient: &platform.Sender{Memory: memory}, ReplyMemory: memory, Registry: store, Presets: presets, ApplyWithin: boot.ApplyWithin, FirstStart: boot.Bootstrap, Region: region,
 		Replicas: replicas, Configurations: configurations, ZonesOut: zones,
+		Rollouts: vm.Rollouts{Orders: store.Rollouts(), Writer: store},
 		Front: func(loop *traffic.Loop, board *view.Publisher, leaving func() bool) http.Handler {
 			return &platform.Front{Traffic: loop, Board: board, Log: log, Leaving: leaving}
 		},
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -17,6 +17,7 @@
 	"carawaycross.example/carawaycross/core/node"
 	"carawaycross.example/carawaycross/core/replica"
 	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/rollout"
 	"carawaycross.example/carawaycross/core/roster"
 	"carawaycross.example/carawaycross/core/view"
 )
@@ -76,6 +77,9 @@
 	// QuotaLimits limit the retries and hedges of all VMs together at each discovered
 	// service.
 	QuotaLimits retry.QuotaLimits
+	// Rollouts bound the orders that move a service to another version of its software. If
+	// unset, orders are not followed and versions do not matter.
+	Rollouts rollout.Bounds
 	// Random selects the VMs to probe and push to; nil for a generator with a
 	// fixed seed.
 	Random replica.Random
@@ -183,6 +187,11 @@
 	members      container.COW[ident.VMID, view.Member]
 	membersStale bool
 	catalogue    catalogue.Catalogue
+	rollouts     rollout.Manager
+	// rolloutsNext is when the view changes because of a rollout.
+	rolloutsNext ident.Instant
+	// ordersUntil is the latest time until which the VM waits for the list of orders.
+	ordersUntil ident.Instant
 	// quietUntil ends the period in which this VM receives the existing roster. Until
 	// then it does not forward entries of alive VMs, which the others already have.
 	quietUntil ident.Instant
@@ -213,6 +222,7 @@
 		viewStale: true, membersStale: true,
 	}
 	core.quietUntil = now.Add(joinQuietPeriod)
+	core.startRollouts(now)
 	for _, seed := range c.Seeds {
 		core.roster.Merge(now, seed)
 	}
@@ -238,7 +248,7 @@
 
 // Wake returns when Tick must be called next.
 func (c *Core) Wake() ident.Instant {
-	return min(c.timers.Next(), c.news.Next(), c.catalogue.Next())
+	return min(c.timers.Next(), c.news.Next(), c.catalogue.Next(), c.rolloutsNext)
 }
 
 // Configuration returns the configuration in force on this VM.
@@ -273,11 +283,18 @@
 	if c.catalogue.Expire(now) {
 		c.viewStale = true
 	}
+	if now >= c.rolloutsNext {
+		c.viewStale = true
+	}
 	c.processChanges(now)
 }
 
 // Report processes an observation from this VM's own traffic.
 func (c *Core) Report(now ident.Instant, n node.News) {
+	if n.Kind == node.Rollout {
+		c.rollouts.AddEvidence(*n.Rollout)
+		return
+	}
 	if c.config.Discovers && n.Kind != node.Crash {
 		// Discovery reports the condition of replicas; each VM observes the rest for
 		// itself.
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -28,7 +28,7 @@
 		Version: c.configuration.Version,
 	}
 	if p := c.configuration.Current(); p != nil {
-		v.Ready, v.Preset = now >= c.readyAt && (!c.config.Discovers || (c.catalogue.Ready() && c.vmsListed)), *p
+		v.Ready, v.Preset = now >= c.readyAt && (!c.config.Discovers || (c.catalogue.Ready() && c.vmsListed && c.ordersKnown(now))), *p
 	}
 	v.Out = c.configuration.ZoneIsOut(self.Zone) || c.configuration.VMIsOut(string(self.VM))
 	v.VMs = len(c.updateRanks())
@@ -48,6 +48,7 @@
 	if c.config.Discovers {
 		c.catalogue.AddTo(v, c.config.QuotaLimits, c.discoveredRank)
 		c.markOut(v.Services[len(c.config.Services):])
+		c.applyRollouts(now, v.Services[len(c.config.Services):])
 	}
 	if c.membersStale {
 		c.membersStale = false
--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -89,7 +89,7 @@
 	p.tried[p.attemptCount] = r
 	p.attemptCount++
 	r.Sent(now)
-	c.countSent(now, p.svc, r)
+	p.svc.countSent(r)
 	c.actions = append(c.actions, Action{
 		Kind: Send, Query: ident.QueryID(q.handle), Attempt: ident.AttemptID(h),
 		Replica: r.ID, Address: r.Address, Connections: r.Shares.ConnectionShare(),
--- a/core/node/rollout.go
+++ b/core/node/rollout.go
@@ -23,8 +23,8 @@
 	tally    rollout.Tally
 	// timerPending is true while a rolloutTimer of the service is pending.
 	timerPending bool
-	// firstSent holds when this VM sent the first attempt to each replica of the target.
-	firstSent map[*replica.State]ident.Instant
+	// listedAt holds when this VM first knew each replica of the target.
+	listedAt map[*replica.State]ident.Instant
 }
 
 // installRollout updates the service to the plan of a view; nil ends the rollout. A new
@@ -35,15 +35,22 @@
 		s.rollout = nil
 	case s.rollout == nil || s.rollout.plan.Order != plan.Order:
 		s.rollout = &serviceRollout{
-			plan: plan, exposure: rollout.NewExposure(plan), firstSent: map[*replica.State]ident.Instant{},
+			plan: plan, exposure: rollout.NewExposure(plan), listedAt: map[*replica.State]ident.Instant{},
 		}
 	default:
 		s.rollout.plan = plan
 	}
 }
 
-func (s *service) isTarget(software ident.Software) bool {
-	return s.rollout != nil && software == s.rollout.plan.Order.Target
+// markTarget sets whether a replica runs the version to which an order moves the service.
+func (s *service) markTarget(now ident.Instant, r *replica.State, software ident.Software) {
+	r.Target = s.rollout != nil && software == s.rollout.plan.Order.Target
+	if !r.Target {
+		return
+	}
+	if _, ok := s.rollout.listedAt[r]; !ok {
+		s.rollout.listedAt[r] = now
+	}
 }
 
 // decide picks a replica. While an order moves the service to another version, it picks one
@@ -87,13 +94,9 @@
 	}
 }
 
-func (c *Core) countSent(now ident.Instant, svc *service, r *replica.State) {
-	if svc.rollout == nil || !r.Target {
-		return
-	}
-	svc.rollout.exposure.CountTarget()
-	if _, ok := svc.rollout.firstSent[r]; !ok {
-		svc.rollout.firstSent[r] = now
+func (s *service) countSent(r *replica.State) {
+	if s.rollout != nil && r.Target {
+		s.rollout.exposure.CountTarget()
 	}
 }
 
@@ -109,7 +112,7 @@
 	ro.tally.Record(rollout.Result{
 		Cell: rollout.Cell{Route: a.route, Replica: r.ID}, Zone: r.Zone, Target: r.Target,
 		Failed: o == replica.Failed, Aborted: o == replica.Aborted, Took: now.Sub(a.sent),
-		Settling: now < r.ColdUntil || r.Condition(now) == replica.Cold || (r.Target && now.Sub(ro.firstSent[r]) < settleTime),
+		Settling: now < r.ColdUntil || r.Condition(now) == replica.Cold || (r.Target && now.Sub(ro.listedAt[r]) < settleTime),
 	})
 }
 
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -127,7 +127,7 @@
 	returned := r.Out && !vr.Out
 	r.Out = vr.Out
 	r.ColdUntil = vr.ColdUntil
-	r.Target = s.isTarget(vr.Software)
+	s.markTarget(now, r, vr.Software)
 	r.Shares = replica.Shares{
 		Slots: vs.Slots, Connections: vs.Connections,
 		VMs: v.VMs, Rank: vr.Rank, RampStep: v.Preset.RampStep, ColdRate: vs.ColdRate,
--- a/proof/fleet/site.go
+++ b/proof/fleet/site.go
@@ -12,6 +12,7 @@
 	"carawaycross.example/carawaycross/core/catalogue"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/rollout"
 	"carawaycross.example/carawaycross/core/route"
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/proof/standin"
@@ -33,6 +34,8 @@
 	// Apply is the time within which a change of the configuration must be in force,
 	// according to the VMs' settings; 0 means ApplyWithin.
 	Apply time.Duration
+	// Rollouts bounds the orders to move services to other versions; unset for none.
+	Rollouts rollout.Bounds
 	// MapAddress, if set, returns the address that VMs use instead of the address of
 	// a replica or the store, such as a proxy's.
 	MapAddress func(address string) string
@@ -89,11 +92,11 @@
 		return err
 	}
 	for i := range s.Spec.Shards {
-		if err := s.startReplicas(Shard(i), s.Spec.Replicas); err != nil {
+		if err := s.StartReplicas(Shard(i), "", s.Spec.Replicas); err != nil {
 			return err
 		}
 	}
-	if err := s.startReplicas(Desk, s.Spec.DeskReplicas); err != nil {
+	if err := s.StartReplicas(Desk, "", s.Spec.DeskReplicas); err != nil {
 		return err
 	}
 	if err := s.Configure(s.firstConfiguration()); err != nil {
@@ -109,11 +112,13 @@
 	return nil
 }
 
-func (s *Site) startReplicas(service ident.ServiceID, n int) error {
+// StartReplicas starts n replicas of a service with a version of its software, which may be
+// empty, and writes their entries.
+func (s *Site) StartReplicas(service ident.ServiceID, software ident.Software, n int) error {
 	for i := range n {
 		r, err := standin.NewReplica(loopback, standin.ReplicaConfig{
 			Replica: catalogue.Replica{
-				ID: ident.ReplicaID(fmt.Sprintf("%s.%d", service, i)), Service: service,
+				ID: ident.ReplicaID(fmt.Sprintf("%s%s.%d", service, software, i)), Service: service, Software: software,
 				Zone: ident.ZoneID(s.Spec.Zones[i%len(s.Spec.Zones)]), Slots: s.Spec.Slots,
 			},
 			Work: s.Spec.Work, Seed: s.Spec.Seed + uint64(len(s.Replicas)),
@@ -187,6 +192,16 @@
 	return c
 }
 
+// Order writes an order to move a service to another version to the store, as the operator
+// would.
+func (s *Site) Order(o rollout.Order) error {
+	spec, err := platform.MarshalRollout(o)
+	if err == nil {
+		s.Platform.Set(platform.KindRollouts, string(o.Service), spec)
+	}
+	return err
+}
+
 // Configure writes a configuration to the store, as the operator would.
 func (s *Site) Configure(c catalogue.Configuration) error {
 	spec, err := platform.MarshalConfiguration(c)
@@ -210,6 +225,7 @@
 		VM: fmt.Sprintf("entry-%d", i), Zone: s.Spec.Zones[i%len(s.Spec.Zones)], Zones: s.Spec.Zones, IP: "127.0.0.1",
 		Front: ports[0], Ready: ports[1], Internal: ports[2], Store: s.advertisedAddress(s.Platform.Address()),
 		Grace: GracePeriod, Apply: cmp.Or(s.Spec.Apply, ApplyWithin), QuotaLimits: retry.QuotaLimits{Ratio: 0.2, Allowance: 52, Span: 10 * time.Second},
+		Rollouts: s.Spec.Rollouts,
 	}, nil
 }
 
--- a/proof/standin/platform.go
+++ b/proof/standin/platform.go
@@ -99,6 +99,7 @@
 	r.Post(wire.ObjectsPath+"{kind}", p.create)
 	r.Get(wire.ObjectsPath+"{kind}/{name}", p.get)
 	r.Put(wire.ObjectsPath+"{kind}/{name}", p.put)
+	r.Put(wire.ObjectsPath+"{kind}/{name}/status", p.putStatus)
 	r.Delete(wire.ObjectsPath+"{kind}/{name}", p.deleteObject)
 	p.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Second}
 	go func() { p.done <- p.server.Serve(listener) }()
@@ -231,7 +232,7 @@
 	p.revision++
 	o, exists := p.kinds[kind][name]
 	if !exists {
-		o.Meta.Name = name
+		o.Meta.Name, o.Meta.CreatedRevision = name, p.revision
 	}
 	o.Meta.Revision, o.Spec = p.revision, spec
 	p.kinds[kind][name] = o
--- a/serve/settings/check.go
+++ b/serve/settings/check.go
@@ -202,6 +202,9 @@
 	if d.ExtraRatio < 0 || d.ExtraRatio > 1 {
 		c.add("discovery.extra-ratio", "found %v, allowed 0 to 1", d.ExtraRatio)
 	}
+	if share := d.GetRollout().GetCanaryShare(); !(share >= 0 && share <= 1) {
+		c.add("discovery.rollout.canary-share", "found %v, allowed 0 to 1", share)
+	}
 }
 
 func (c *checker) services(m *schema.Settings) {
--- a/serve/settings/typed.go
+++ b/serve/settings/typed.go
@@ -5,6 +5,7 @@
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/preset"
 	"carawaycross.example/carawaycross/core/retry"
+	"carawaycross.example/carawaycross/core/rollout"
 	"carawaycross.example/carawaycross/core/roster"
 	"carawaycross.example/carawaycross/core/snapshot"
 	"carawaycross.example/carawaycross/core/view"
@@ -104,6 +105,14 @@
 	}
 }
 
+// RolloutBounds returns the bounds of rollouts; they are unset if the settings hold none.
+func (s *Settings) RolloutBounds() rollout.Bounds {
+	b := s.Message.Discovery.GetRollout()
+	return rollout.Bounds{
+		Share: ident.Share(b.GetCanaryShare()), Allowance: int(b.GetCanaryAllowance()), Within: b.GetRollbackWithin().AsDuration(),
+	}
+}
+
 // InitialConfiguration returns the initial configuration, which is used if the platform's store
 // contains none. Without presets in the settings it contains built-in ones.
 func (s *Settings) InitialConfiguration() (config.Configuration, error) {
--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -60,7 +60,7 @@
 }
 
 // A Discovery connects a VM to the sources of routes and replicas, which may change
-// while it runs. All fields must be set.
+// while it runs. All fields but Rollouts must be set.
 type Discovery struct {
 	UpstreamClient UpstreamClient
 	// ReplyMemory is the budget in which UpstreamClient reserves the bodies of replies.
@@ -71,6 +71,8 @@
 	Replicas       watch.Probeable[catalogue.Replica]
 	Configurations watch.Probeable[catalogue.Configuration]
 	ZonesOut       watch.Probeable[ident.ZoneID]
+	// Rollouts holds the orders that move services to other versions.
+	Rollouts Rollouts
 	// ApplyWithin is the time within which a change in the store must be in force.
 	ApplyWithin time.Duration
 	// Region holds the availability zones of the VM's region.
@@ -122,6 +124,7 @@
 	v.group.Go(ctx, func(ctx context.Context) { followReader(ctx, v, r.configurations, v.routesHandler()) })
 	v.group.Go(ctx, func(ctx context.Context) { followReader(ctx, v, r.zonesOut, v.zoneHandler()) })
 	v.group.Go(ctx, func(ctx context.Context) { followReader(ctx, v, r.presets, v.presetHandler()) })
+	v.startRollouts(ctx)
 	v.group.Go(ctx, v.watcher.PollVMs)
 	v.group.Go(ctx, func(ctx context.Context) { v.addEntry(ctx, self) })
 	return nil
--- a/serve/vm/loop.go
+++ b/serve/vm/loop.go
@@ -114,6 +114,9 @@
 }
 
 func (l *controlLoop) logEvidence(n node.News) {
+	if n.Kind == node.Rollout {
+		return
+	}
 	line := l.log.Info().Str("kind", string(n.Kind)).Str("replica", string(n.Replica))
 	if n.Kind == node.Crash {
 		line.Str("request-fingerprint", strconv.FormatUint(uint64(n.Fingerprint), 16))
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -8,6 +8,7 @@
 
 	"carawaycross.example/carawaycross/core/catalogue"
 	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/rollout"
 	"carawaycross.example/carawaycross/core/roster"
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/schema"
@@ -39,6 +40,8 @@
 	configurations *mirror.Reader[catalogue.Configuration]
 	zonesOut       *mirror.Reader[ident.ZoneID]
 	presets        *mirror.Reader[[]byte]
+	// orders is nil if the settings set no bounds for rollouts.
+	orders *mirror.Reader[rollout.Order]
 }
 
 // startMirrors creates the readers and starts the transport that receives the questions
@@ -84,6 +87,7 @@
 		r.replicas.InitialListWait, r.configurations.InitialListWait = mirror.InitialListWait, mirror.InitialListWait
 		r.zonesOut.InitialListWait, r.presets.InitialListWait = mirror.InitialListWait, mirror.InitialListWait
 	}
+	v.addOrderReader(m)
 	v.mirrors = m
 	var err error
 	if m.identity, err = peer.NewPinned(self.VM, m.selector.Certificate); err != nil {
--- a/serve/vm/peers.go
+++ b/serve/vm/peers.go
@@ -48,7 +48,7 @@
 // mirror question.
 func (h peerHandler) Call(ctx context.Context, from ident.VMID, body []byte) []byte {
 	var m schema.PeerCall
-	if err := proto.Unmarshal(body, &m); err != nil || (m.Booking == nil && m.Mirror == nil && m.CutOff == nil) {
+	if err := proto.Unmarshal(body, &m); err != nil || (m.Booking == nil && m.Mirror == nil && m.CutOff == nil && m.Rollout == nil) {
 		h.vm.log.Warn().Str("from", string(from)).Msg("peer-call-refused")
 		return nil
 	}
@@ -56,6 +56,9 @@
 		h.vm.receiveCutOffNotice(m.CutOff)
 		return nil
 	}
+	if m.Rollout != nil {
+		return h.vm.answerRollout(ctx, from, m.Rollout)
+	}
 	if m.Mirror != nil {
 		return h.vm.answerQuestion(ctx, m.Mirror)
 	}
--- a/serve/vm/status.go
+++ b/serve/vm/status.go
@@ -170,6 +170,7 @@
 	publish("reports-dropped", func() any { return v.traffic.DroppedNews() })
 	publish("messages-dropped", func() any { return v.control.droppedMessages.Load() })
 	publish("configuration-version", func() any { return v.views.Current().Version })
+	publish("rollouts", func() any { return v.rolloutVars() })
 	if v.peers != nil {
 		publish("peers", func() any { return v.peers.Stats() })
 	}
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -17,6 +17,7 @@
 	"carawaycross.example/carawaycross/core/control"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/rollout"
 	"carawaycross.example/carawaycross/core/roster"
 	"carawaycross.example/carawaycross/core/view"
 	"carawaycross.example/carawaycross/internal/body"
@@ -111,6 +112,10 @@
 	cutOff atomic.Bool
 	// cutOffNotices receives a value when another VM of the zone is cut off.
 	cutOffNotices chan struct{}
+	// rolloutWrites holds the latest stages to write to the store.
+	rolloutWrites chan []rollout.Write
+	// rolloutStatuses is the latest state of the orders, for metrics.
+	rolloutStatuses atomic.Pointer[[]rollout.Status]
 	// completeAnswers counts the complete answers within their goal. It is only accessed
 	// by the goroutine of the traffic loop.
 	completeAnswers int
@@ -125,6 +130,7 @@
 	v := &VM{
 		settings: s, log: o.Log, clock: clock.New(), views: &view.Publisher{}, upstream: &upstream.Client{},
 		gauges: &gauge.Set{}, store: o.Store, group: task.NewGroup(maxTasks), discovery: o.Discovery, cutOffNotices: make(chan struct{}, 1),
+		rolloutWrites: make(chan []rollout.Write, 1),
 	}
 	v.stopTimes.Store(stopTimesOf(s))
 	if o.Discovery != nil {
@@ -179,6 +185,9 @@
 	}
 	if v.discovery != nil {
 		c.Discovers, c.Peerless, c.First, c.QuotaLimits = true, true, initial, v.settings.QuotaLimits()
+		if v.discovery.Rollouts.Orders != nil {
+			c.Rollouts = v.settings.RolloutBounds()
+		}
 	}
 	return c
 }
