--- a/carawaycross.go
+++ b/carawaycross.go
@@ -103,8 +103,8 @@
 		UpstreamClient: &platform.Sender{Memory: memory}, ReplyMemory: memory, Registry: store, Presets: presets, ApplyWithin: boot.ApplyWithin, FirstStart: boot.Bootstrap, Region: region,
 		Replicas: replicas, Configurations: configurations, ZonesOut: zones,
 		Rollouts: vm.Rollouts{Orders: store.Rollouts(), Writer: store},
-		Front: func(loop *traffic.Loop, board *view.Publisher, leaving func() bool) http.Handler {
-			return &platform.Front{Traffic: loop, Board: board, Log: log, Leaving: leaving}
+		Front: func(loop *traffic.Loop, board *view.Publisher, leaving, outdated func() bool) http.Handler {
+			return &platform.Front{Traffic: loop, Board: board, Log: log, Leaving: leaving, Outdated: outdated}
 		},
 		Ready: platform.Readiness,
 	}
--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -70,11 +70,18 @@
 	if !hedge && p.svc.hasQuota && p.svc.quota.BelowReserve(now, q.quotaReserve()) && !q.requires(p) {
 		return false
 	}
+	if c.exceedsExtras(now, q, p, hedge) {
+		return false
+	}
 	input := SpendInput{Now: now, Budget: p.svc.budget(q.rank), Hedge: hedge}
 	if p.svc.hasQuota {
 		input.Quota = &p.svc.quota
 	}
-	return c.policies.Spend.Decide(input)
+	if !c.policies.Spend.Decide(input) {
+		return false
+	}
+	c.countExtra(now, q, p.svc, hedge)
+	return true
 }
 
 func (c *Core) sendAttempt(now ident.Instant, q *query, i int, r *replica.State) {
@@ -92,7 +99,7 @@
 	p.svc.countSent(r)
 	c.actions = append(c.actions, Action{
 		Kind: Send, Query: ident.QueryID(q.handle), Attempt: ident.AttemptID(h),
-		Replica: r.ID, Address: r.Address, Connections: r.Shares.ConnectionShare(),
+		Replica: r.ID, Address: r.Address, Connections: r.Shares.ConnectionShare(), Borrowed: r.Reserve,
 		Service: p.svc.id, Shard: r.Shard, Incarnation: r.Incarnation,
 		Snapshot: q.snapshot, Body: q.arrival.Body, Message: q.arrival.Message, AtMostOnce: !q.repeatable(),
 		Key: q.arrival.Key, Deadline: q.deadline, Left: q.deadline.Sub(now),
@@ -103,7 +110,7 @@
 func (c *Core) enqueue(now ident.Instant, q *query, i int) {
 	p := &q.parts[i]
 	p.state = partQueued
-	evicted, full := p.shard.queue.Push(q.rank, queuedPart{query: q.handle, part: i})
+	evicted, full := p.shard.queue.Push(q.rank, q.flow, queuedPart{query: q.handle, part: i})
 	c.scheduleQueue(now, p.svc, p.shard)
 	if !full {
 		return
@@ -145,9 +152,10 @@
 		if !queued.deferred && c.canDefer(now, q, &q.parts[queued.part]) {
 			queued.deferred = true
 			// The Pop above left room for this Push.
-			sh.queue.Push(len(q.preset.Classes), queued)
+			sh.queue.Push(len(q.preset.Classes), q.flow, queued)
 			continue
 		}
+		sh.queue.Charge()
 		c.serveQueued(now, q, queued.part)
 	}
 	if sh.queue.Len() > 0 {
@@ -170,15 +178,7 @@
 }
 
 func (sh *shard) hasFreeSlot(now ident.Instant, svc *service) bool {
-	if sh.Usable(now) == 0 {
-		return false
-	}
-	for _, r := range sh.Replicas {
-		if r.CanSend(now) && svc.mayChoose(r) {
-			return true
-		}
-	}
-	return false
+	return sh.Usable(now) > 0 && sh.CanSend(now, svc.queueVersions())
 }
 
 func (c *Core) park(now ident.Instant, q *query, i int) {
--- a/core/node/rollout.go
+++ b/core/node/rollout.go
@@ -83,9 +83,12 @@
 	return false
 }
 
-// mayChoose reports whether the order in progress, if any, lets queued parts go to a replica.
-func (s *service) mayChoose(r *replica.State) bool {
-	return s.rollout == nil || !r.Target || s.rollout.exposure.Prefers(s.rollout.plan)
+// queueVersions returns the versions to which queued parts may go.
+func (s *service) queueVersions() replica.Versions {
+	if s.rollout == nil || s.rollout.exposure.Prefers(s.rollout.plan) {
+		return replica.AnyVersion
+	}
+	return replica.OnlyOthers
 }
 
 func (s *service) countFirst() {
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carawaycross.example/carawaycross/core/container"
+	"carawaycross.example/carawaycross/core/fairness"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/replica"
 	"carawaycross.example/carawaycross/core/retry"
@@ -21,7 +22,7 @@
 
 type shard struct {
 	replica.Shard
-	queue *container.Queue[queuedPart]
+	queue *container.FairQueue[flowID, queuedPart]
 	// timerPending is true while a queueTimer of the shard is pending.
 	timerPending bool
 }
@@ -36,6 +37,8 @@
 	// quota bounds the extra attempts if hasQuota is set; otherwise budgets do.
 	quota    retry.Quota
 	hasQuota bool
+	// hedges and retries share the quota among ranks and tenants.
+	hedges, retries fairness.Extras[ident.TenantID]
 	// distinctStarts is view.Service.DistinctStarts.
 	distinctStarts bool
 	// rollout is set while an order moves the service to another version.
@@ -100,6 +103,7 @@
 		s.budgets = make([]retry.Budget, max(n, 1))
 	}
 	known := map[ident.ReplicaID]*replica.State{}
+	first := len(s.shards) == 0
 	for _, sh := range s.shards {
 		for _, r := range sh.Replicas {
 			known[r.ID] = r
@@ -109,16 +113,24 @@
 	for i := range vs.Replicas {
 		vr := &vs.Replicas[i]
 		r := known[vr.ID]
-		if r == nil || r.Incarnation != vr.Incarnation {
+		started := r == nil || r.Incarnation != vr.Incarnation
+		if started {
 			r = &replica.State{ID: vr.ID, Incarnation: vr.Incarnation}
 			if departures.Includes(r.ID, r.Incarnation) {
 				r.MarkDeparted(now)
 			}
 		}
 		s.updateReplica(now, v, vs, vr, r)
+		// A VM that has just started knows of no replica whether it has just started, too.
+		if started && (!first || now < vr.ColdUntil) {
+			r.BeginPace(now)
+		}
 		sh := s.shard(vr.Shard, v.Preset.QueueLength, len(v.Preset.Classes))
 		sh.Replicas = append(sh.Replicas, r)
 	}
+	for _, sh := range s.shards {
+		sh.queue.SetFloor(queueFloor(v))
+	}
 }
 
 func (s *service) updateReplica(now ident.Instant, v *view.View, vs *view.Service, vr *view.Replica, r *replica.State) {
@@ -126,19 +138,16 @@
 	r.Local = vr.Zone == v.Zone
 	returned := r.Out && !vr.Out
 	r.Out = vr.Out
-	r.ColdUntil = vr.ColdUntil
+	r.ColdUntil, r.Reserve = vr.ColdUntil, vr.Reserve
 	s.markTarget(now, r, vr.Software)
 	r.Shares = replica.Shares{
 		Slots: vs.Slots, Connections: vs.Connections,
 		VMs: v.VMs, Rank: vr.Rank, RampStep: v.Preset.RampStep, ColdRate: vs.ColdRate,
-		MinInFlight: vs.MinInFlight,
+		MinInFlight: vs.MinInFlight, Paced: vs.Paced,
 	}
 	if vr.Slots > 0 {
 		r.Shares.Slots = vr.Slots
 	}
-	if vs.RampStep > 0 {
-		r.Shares.RampStep = vs.RampStep
-	}
 	if vr.Leaving {
 		r.MarkLeaving(now)
 	} else {
@@ -160,7 +169,7 @@
 	if sh == nil {
 		sh = &shard{
 			Shard: replica.Shard{ID: id},
-			queue: container.NewQueue[queuedPart](queueLength, ranks),
+			queue: container.NewFairQueue[flowID, queuedPart](queueLength, ranks),
 		}
 		s.shards[id] = sh
 		s.shardOrder = append(s.shardOrder, id)
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/core/pace"
 	"carawaycross.example/carawaycross/core/snapshot"
 )
 
@@ -140,6 +141,9 @@
 	Out bool
 	// Target is true while an order moves the service to the version that the replica runs.
 	Target bool
+	// Reserve is true if the replica gets attempts of this VM only while no other one of its
+	// shard is sound.
+	Reserve bool
 	// Incarnation distinguishes successive processes of a replica under one ID; 0
 	// if unknown.
 	Incarnation ident.Incarnation
@@ -170,6 +174,8 @@
 	coldMark    uint64
 	performance performance
 	coldLimiter coldLimiter
+	// pace limits the attempts with Shares.Paced set.
+	pace pace.Pace
 	// pending holds the send time of each attempt in flight, oldest first.
 	pending []ident.Instant
 }
@@ -181,11 +187,11 @@
 	case Ejected, Lost:
 		if now >= s.until {
 			ejected := s.condition == Ejected
-			s.enter(Cold, now)
+			s.becomeCold(now)
 			s.probation = ejected
 		}
 	case Cold:
-		if s.rampConcurrency(now) > s.Shares.Slots {
+		if s.warmed(now) {
 			s.enter(Warm, now)
 			s.limit = s.fairShare()
 		}
@@ -207,9 +213,11 @@
 	return !s.Out && (c == Warm || c == Cold)
 }
 
-// CanSend reports whether one more attempt is within the limits.
+// CanSend reports whether one more attempt is within the limits, if no other replica of
+// its shard can take it.
 func (s *State) CanSend(now ident.Instant) bool {
-	return s.Usable(now) && s.InFlight < s.Limit(now) && s.coldRateAllows(now)
+	in := Selection{Now: now, Shard: &Shard{}}
+	return in.Eligible(s)
 }
 
 // Latency returns the moving average of the latency; 0 without samples.
@@ -234,7 +242,7 @@
 // leaving: the replica has restarted and is cold.
 func (s *State) ClearLeaving(now ident.Instant) {
 	if s.condition == Leaving && !s.departed && now.Sub(s.since) >= minLeaving {
-		s.enter(Cold, now)
+		s.becomeCold(now)
 	}
 }
 
@@ -248,7 +256,7 @@
 	}
 	s.coldMark = mark
 	if c := s.Condition(now); c == Warm || c == Cold {
-		s.enter(Cold, now)
+		s.becomeCold(now)
 	}
 }
 
@@ -256,7 +264,7 @@
 // is called when operators return the replica to service.
 func (s *State) BeginRamp(now ident.Instant) {
 	if s.condition != Leaving {
-		s.enter(Cold, now)
+		s.becomeCold(now)
 	}
 }
 
@@ -298,7 +306,7 @@
 	case RefusedCold:
 		// The replica is running another VM's attempt, so the ramp begins later.
 		if before != Leaving {
-			s.enter(Cold, now.Add(s.Shares.RampStep/refusedColdDivisor))
+			s.becomeCold(now.Add(s.Shares.RampStep / refusedColdDivisor))
 		}
 	case Draining:
 		s.MarkLeaving(now)
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -123,8 +123,21 @@
 	}
 }
 
-// TestGoodVersionIsCompleted answers noise, pauses of 200 ms, a slow zone, and a replica that
-// is cold, lost or fails by itself: at most 1 of 200 seeds convicts a good version, and the others complete
+// TestBadOnARareRoute answers a version that fails on a route with a twelfth of the requests:
+// over all routes, its failures are few.
+func TestBadOnARareRoute(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 1+int(seed), version{share: 0.9, route: "rare"})
+		w.rareShare, w.perSecond = 0.08, 300
+		w.run(w.order.Duration, nil)
+		if w.stored != rollout.RolledBack || float64(w.exposed) > w.exposureBound() {
+			t.Errorf("seed %d: %v, %d of %d requests", seed, w.stored, w.exposed, w.total)
+		}
+	}
+}
+
+// TestGoodVersionIsCompleted answers noise, pauses of 200 ms, a slow zone, a replica that is
+// cold, lost or fails by itself, and a target without replicas in one zone: at most 1 of 200 seeds convicts a good version, and the others complete
 // it within five sixths of its duration with nothing in flight at the old replicas.
 func TestGoodVersionIsCompleted(t *testing.T) {
 	convicted := 0
@@ -144,6 +157,8 @@
 			w.replicas[7].cold = w.now.Add(w.order.Duration / 3)
 		case 3:
 			w.replicas[8].grey = true
+		case 4:
+			w.replicas[7].lost, w.replicas[10].lost = true, true
 		}
 		w.run(w.order.Duration, nil)
 		switch {
@@ -189,6 +204,37 @@
 	}
 }
 
+// TestCompletionWaitsForOtherVersions checks that an order at Takeover is not completed while
+// a VM has requests in flight at replicas of other versions, or has not entered Takeover.
+func TestCompletionWaitsForOtherVersions(t *testing.T) {
+	now := ident.Instant(time.Hour)
+	order := rollout.Order{Service: service, ID: rollout.OrderID{Number: 1, Target: newSoftware}, Duration: 20 * time.Second}
+	capacity := rollout.Capacity{Target: 4, Others: 4}
+	j := rollout.NewJudge(now, now, order)
+	var sequence uint64
+	report := func(vm ident.VMID, step rollout.Step, inFlight int) {
+		sequence++
+		j.Receive(now, &rollout.Report{VM: vm, Incarnation: 1, Sequence: sequence, Stage: rollout.InProgress, Evidence: rollout.Evidence{
+			Service: service, Order: order.ID, Step: step, OthersInFlight: inFlight,
+		}})
+	}
+	for _, c := range []struct {
+		step     rollout.Step
+		inFlight int
+		want     rollout.Stage
+	}{{rollout.Most, 0, rollout.InProgress}, {rollout.Takeover, 2, rollout.InProgress}, {rollout.Takeover, 0, rollout.Completed}} {
+		for range 20 {
+			now = now.Add(250 * time.Millisecond)
+			report("a", rollout.Takeover, 0)
+			report("b", c.step, c.inFlight)
+			j.Decide(now, 2, capacity)
+		}
+		if g := j.Decide(now, 2, capacity); g.Stage != c.want {
+			t.Errorf("%v with %d in flight: %v", c.step, c.inFlight, g.Stage)
+		}
+	}
+}
+
 // TestVerdictIsFinal checks that a late report or decision does not take back a roll-back,
 // that a restarted VM follows it, and that the store decides between final stages.
 func TestVerdictIsFinal(t *testing.T) {
--- a/core/rollout/world_test.go
+++ b/core/rollout/world_test.go
@@ -75,15 +75,17 @@
 // A world is a deployment under virtual time: each second, its VMs send perSecond requests
 // in all.
 type world struct {
-	now, ordered        ident.Instant
-	random              *rand.Rand
-	vms                 []*fakeVM
-	replicas            []*fakeReplica
-	version             version
-	order               rollout.Order
-	perSecond           float64
-	lossShare           float64
-	pauses              bool
+	now, ordered ident.Instant
+	random       *rand.Rand
+	vms          []*fakeVM
+	replicas     []*fakeReplica
+	version      version
+	order        rollout.Order
+	perSecond    float64
+	lossShare    float64
+	pauses       bool
+	// rareShare of the requests are on the route "rare".
+	rareShare           float64
 	slowZone            ident.ZoneID
 	slowFrom, slowUntil time.Duration
 	noise               float64
@@ -271,6 +273,9 @@
 		Cell: rollout.Cell{Route: routes[w.random.IntN(len(routes))], Replica: r.id}, Zone: r.zone, Target: target,
 		Took: time.Duration((0.6 + 0.8*w.random.Float64()) * float64(20*time.Millisecond)), Settling: w.now < r.cold,
 	}
+	if w.random.Float64() < w.rareShare {
+		result.Route = "rare"
+	}
 	if w.now < r.cold {
 		result.Took *= 3
 	}
--- a/core/roster/share.go
+++ b/core/roster/share.go
@@ -25,10 +25,10 @@
 	return out
 }
 
-// rendezvousWeight returns the rendezvous weight of a VM for a subject, from the
+// RendezvousWeight returns the rendezvous weight of a VM for a subject, from the
 // hashes of their names (Thaler, Ravishankar: "A Name-Based Mapping Scheme for
 // Rendezvous"). It uses the finalizer of SplitMix64.
-func rendezvousWeight(subject, vm uint64) uint64 {
+func RendezvousWeight(subject, vm uint64) uint64 {
 	z := subject ^ bits.RotateLeft64(vm, 32)
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
 	z = (z ^ z>>27) * 0x94d049bb133111eb
@@ -56,10 +56,10 @@
 // weight. Equal weights are ordered by ID.
 func (o *RendezvousOrder) Rank(subject string) int {
 	base := xxhash.Sum64String(subject)
-	own := rendezvousWeight(base, xxhash.Sum64String(string(o.self)))
+	own := RendezvousWeight(base, xxhash.Sum64String(string(o.self)))
 	rank := 0
 	for i, vm := range o.vms {
-		w := rendezvousWeight(base, o.hashes[i])
+		w := RendezvousWeight(base, o.hashes[i])
 		if vm != o.self && (w > own || (w == own && vm < o.self)) {
 			rank++
 		}
@@ -77,7 +77,7 @@
 	candidates := make([]candidate, 0, len(o.vms))
 	for i, vm := range o.vms {
 		if !skip(vm) {
-			candidates = append(candidates, candidate{vm, rendezvousWeight(base, o.hashes[i])})
+			candidates = append(candidates, candidate{vm, RendezvousWeight(base, o.hashes[i])})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
--- a/serve/vm/status.go
+++ b/serve/vm/status.go
@@ -97,12 +97,12 @@
 		if r.Out {
 			condition = "out"
 		}
-		if condition == replica.Warm.String() {
+		if condition == replica.Warm.String() && r.Pace == 0 {
 			continue
 		}
 		m.Upstreams = append(m.Upstreams, &schema.UpstreamStatus{
 			Replica: string(r.ID), Service: string(r.Service), Shard: uint32(r.Shard),
-			Zone: string(r.Zone), Condition: condition,
+			Zone: string(r.Zone), Condition: condition, Pace: r.Pace,
 		})
 	}
 }
@@ -166,6 +166,7 @@
 	if memory := v.replyMemory(); memory != nil {
 		publish("reply-memory", func() any { return memory.Used() })
 	}
+	publish("callers", v.gates.stats)
 	publish("queries-in-flight", func() any { return v.traffic.InFlight() })
 	publish("reports-dropped", func() any { return v.traffic.DroppedNews() })
 	publish("messages-dropped", func() any { return v.control.droppedMessages.Load() })
