--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -139,6 +139,8 @@
 	ReportedLoad uint32
 	// Out is true while operators keep the replica's zone or VM out of service.
 	Out bool
+	// Target is true while an order moves the service to the version that the replica runs.
+	Target bool
 	// Reserve is true if the replica gets attempts of this VM only while no other one of its
 	// shard is sound.
 	Reserve bool
