--- a/core/rollout/advance.go
+++ b/core/rollout/advance.go
@@ -10,7 +10,7 @@
 const (
 	// canaryTime is the part of the duration for which Canary lasts; at most
 	// maxCanaryTime. Meanwhile, the VMs save credit for the steps under load.
-	canaryTime    = 0.25
+	canaryTime    = 0.35
 	maxCanaryTime = 5 * time.Minute
 	// loadTime is the part of the duration for which each step under load lasts, at least
 	// minLoadTime and at most maxLoadTime.
@@ -22,18 +22,24 @@
 	takeoverTime    = 0.07
 	minTakeoverTime = 2500 * time.Millisecond
 	maxTakeoverTime = 5 * time.Second
-	// minMostAnswers is the number of the target's answers from which Most may end at its
-	// time; with fewer it takes patientFactor times as long.
-	minMostAnswers = 150
+	// minCompared is the number of the target's answers that were compared at Most from which
+	// Most may end at its time; fewCompared suffice after fewFactor times as long.
+	minCompared = 60
+	fewCompared = 20
+	fewFactor   = 3
 	// evidenceLag is the time from an answer until it is judged.
 	evidenceLag = 800 * time.Millisecond
 	// minCanaryAnswers is the number of the target's answers from which Canary may end at
 	// its time; with fewer it takes patientFactor times as long.
 	minCanaryAnswers = 15
 	patientFactor    = 1.4
+	// hurriedOrder is the duration below which Canary lasts hurriedCanaryTime of it, so that
+	// the other steps have time.
+	hurriedOrder      = 20 * time.Second
+	hurriedCanaryTime = 0.25
 	// shortOrder is the duration below which the credit does not suffice for all steps under
 	// load: Canary is followed by Most.
-	shortOrder = 30 * time.Second
+	shortOrder = 45 * time.Second
 	// minCapacity is the part of the other versions' capacity that the target needs before
 	// it gets more than the share.
 	minCapacity = 0.5
@@ -75,8 +81,8 @@
 		}
 	case Most:
 		mostTime := j.loadTime() + evidenceLag
-		enough := j.stepAnswers >= minMostAnswers || inStep >= scale(mostTime, patientFactor)
-		if inStep >= mostTime && enough && j.stepAnswers > 0 && j.fits(capacity) {
+		enough := j.compared >= minCompared || (j.compared >= fewCompared && inStep >= fewFactor*mostTime)
+		if inStep >= mostTime && enough && j.fits(capacity) {
 			j.enter(now, Takeover)
 		}
 	case Takeover:
@@ -95,6 +101,9 @@
 
 func (j *Judge) canaryPassed(age time.Duration) bool {
 	needed := min(scale(j.order.Duration, canaryTime), maxCanaryTime)
+	if j.order.Duration < hurriedOrder {
+		needed = scale(j.order.Duration, hurriedCanaryTime)
+	}
 	if j.answers < minCanaryAnswers {
 		needed = scale(needed, patientFactor)
 	}
--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -15,6 +15,9 @@
 type Exposure struct {
 	// credit is what may still be sent to the target; it may be negative from Most on.
 	credit float64
+	// advance is what may be sent at Most beyond the credit, once advanced is true.
+	advance  float64
+	advanced bool
 	// due is what should be sent to the target now, at most maxDue.
 	due float64
 	// first and sent count the requests of the service, and all attempts at the target.
@@ -45,7 +48,10 @@
 	}
 	credit := e.credit
 	if p.Step == Most {
-		credit += p.Advance * float64(e.first)
+		if !e.advanced {
+			e.advanced, e.advance = true, p.Advance*float64(e.first)
+		}
+		credit += e.advance
 	}
 	// The request that is being sent is due itself, before CountFirst.
 	return credit >= 1 && e.due+p.Step.fraction(p.Share) >= 1
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -86,6 +86,9 @@
 	suspect bool
 	// answers counts the answers of the target, at all and since stepSince.
 	answers, stepAnswers uint64
+	// compared is the number of the target's answers since stepSince whose latencies were
+	// compared.
+	compared float64
 }
 
 // NewJudge returns a judge of an order that is known since began.
@@ -142,7 +145,9 @@
 	}
 }
 
-func (j *Judge) enter(now ident.Instant, s Step) { j.step, j.stepSince, j.stepAnswers = s, now, 0 }
+func (j *Judge) enter(now ident.Instant, s Step) {
+	j.step, j.stepSince, j.stepAnswers, j.compared = s, now, 0, 0
+}
 
 // Decide closes the slot that has ended and returns the decision for a deployment of the
 // given number of VMs.
@@ -184,6 +189,9 @@
 	if len(s) == 0 {
 		return
 	}
+	for i := range s {
+		j.compared += s[i].all[slowAnswers]
+	}
 	j.slots = append(j.slots, s)
 	if len(j.slots) > maxSlots {
 		j.slots = j.slots[1:]
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -104,7 +104,7 @@
 	case Half:
 		return 0.5
 	case Most:
-		return 0.8
+		return 0.75
 	case Takeover:
 	}
 	return 1
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -30,9 +30,15 @@
 	count   func(c Counts) (bad, all float64)
 }
 
+// The indices of signals.
+const (
+	failures = iota
+	slowAnswers
+)
+
 var signals = [...]signal{
-	{"failures", 0.08, 6, 2, 0.75, true, func(c Counts) (bad, all float64) { return float64(c.Failures), float64(c.Answers) }},
-	{"slow answers", 0.12, 9, 5, 0.5, false, func(c Counts) (bad, all float64) { return float64(c.Slow), float64(c.Timed) }},
+	failures:    {"failures", 0.08, 6, 2, 0.75, true, func(c Counts) (bad, all float64) { return float64(c.Failures), float64(c.Answers) }},
+	slowAnswers: {"slow answers", 0.12, 9, 3, 0.5, false, func(c Counts) (bad, all float64) { return float64(c.Slow), float64(c.Timed) }},
 }
 
 // A severity is how much evidence against the target is needed.
@@ -44,7 +50,7 @@
 
 var (
 	// conviction rolls an order back; suspicion keeps it from advancing.
-	conviction = severity{1, 4}
+	conviction = severity{1, 3}
 	suspicion  = severity{0.25, 2}
 )
 
