--- a/core/replica/recovery.go
+++ b/core/replica/recovery.go
@@ -59,9 +59,10 @@
 	return max(int(s.pace.Total()/float64(max(s.Shares.VMs, 1))), 1)
 }
 
-// CanSend reports whether one more attempt at any replica is within the limits.
-func (s *Shard) CanSend(now ident.Instant) bool {
-	in := Selection{Now: now, Shard: s}
+// CanSend reports whether one more attempt at any replica of the versions is within the
+// limits.
+func (s *Shard) CanSend(now ident.Instant, versions Versions) bool {
+	in := Selection{Now: now, Shard: s, Versions: versions}
 	for _, r := range s.Replicas {
 		if in.Eligible(r) {
 			return true
@@ -81,7 +82,7 @@
 // hasUnpaced reports whether a replica without a pace can take the attempt.
 func (in *Selection) hasUnpaced() bool {
 	for _, r := range in.Shard.Replicas {
-		if r.Usable(in.Now) && !r.paced(in.Now) && r.InFlight < r.Limit(in.Now) && in.Holds(r) && !in.tried(r) && !in.reserved(r) {
+		if in.Versions.include(r) && r.Usable(in.Now) && !r.paced(in.Now) && r.InFlight < r.Limit(in.Now) && in.Holds(r) && !in.tried(r) && !in.reserved(r) {
 			return true
 		}
 	}
