--- a/proof/crowd/serve_test.go
+++ b/proof/crowd/serve_test.go
@@ -52,7 +52,10 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p = newTarget(t, exec.Command(binary, "serve", "--settings", path))
+	command := exec.Command(binary, "serve", "--settings", path)
+	// These settings do not name the machine's memory.
+	command.Env = append(os.Environ(), fmt.Sprintf("GOMEMLIMIT=%dMiB", memoryMB*3/4))
+	p = newTarget(t, command)
 	p.await("ready", func() bool { return p.get(address, "/readyz", "") == http.StatusOK })
 	return p, address
 }
