node: one chain of rollout reports for each service

Cause: the timer of the reports belonged to the state of an order. An order that replaced another started a second chain, and the chain of a removed service never ended.

Change: the timer belongs to the service; a removed service has no rollout.

--- a/core/node/core.go
+++ b/core/node/core.go
@@ -194,6 +194,7 @@
 	}
 	for id := range c.services {
 		if !installed[id] {
+			c.services[id].rollout = nil
 			delete(c.services, id)
 		}
 	}
--- a/core/node/rollout.go
+++ b/core/node/rollout.go
@@ -21,8 +21,6 @@
 	plan     *rollout.Plan
 	exposure rollout.Exposure
 	tally    rollout.Tally
-	// timerPending is true while a rolloutTimer of the service is pending.
-	timerPending bool
 	// listedAt holds when this VM first knew each replica of the target.
 	listedAt map[*replica.State]ident.Instant
 }
@@ -121,15 +119,16 @@
 
 // scheduleRollout sets a timer for the next report of a service whose order is in progress.
 func (c *Core) scheduleRollout(now ident.Instant, svc *service) {
-	if svc.rollout == nil || svc.rollout.timerPending {
+	if svc.rollout == nil || svc.rolloutTimerPending {
 		return
 	}
-	svc.rollout.timerPending = true
+	svc.rolloutTimerPending = true
 	c.timers.Add(now.Add(rolloutReportInterval), timer{kind: rolloutTimer, svc: svc})
 }
 
 // reportRollout reports the evidence of a service to control.
 func (c *Core) reportRollout(now ident.Instant, svc *service) {
+	svc.rolloutTimerPending = false
 	ro := svc.rollout
 	if ro == nil {
 		return
@@ -146,7 +145,6 @@
 		}
 	}
 	c.notify(News{Kind: Rollout, Rollout: e})
-	ro.timerPending = false
 	c.scheduleRollout(now, svc)
 }
 
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -43,6 +43,8 @@
 	distinctStarts bool
 	// rollout is set while an order moves the service to another version.
 	rollout *serviceRollout
+	// rolloutTimerPending is true while a rolloutTimer of the service is pending.
+	rolloutTimerPending bool
 	// budgets are indexed by the rank of the class.
 	budgets []retry.Budget
 	// chosenSnapshot and chosenMap cache the choice of snapshot until choiceStale is set.
