node: other pauses in the test of the choice by version

The linter reports parameters that always have the same value. With other pauses, golangci-lint run ./core/node/... reports 0 issues and the tests pass.

--- a/core/node/rollout_test.go
+++ b/core/node/rollout_test.go
@@ -31,7 +31,7 @@
 		rollout.Takeover: func(target, all int) bool { return target == all },
 	} {
 		sim := rolloutSimulation(step)
-		sim.setPauses(4500*time.Millisecond, 200*time.Millisecond)
+		sim.setPauses(4*time.Second, 150*time.Millisecond)
 		r := sim.gatherRoute("sweep", 150*time.Millisecond, time.Second, 1, 0)
 		sim.scheduleArrivals(&workload{route: r, ratePerSecond: 100, serviceTime: 10 * time.Millisecond, deadline: time.Second}, sim.now.Add(20*time.Second))
 		// The timer of the reports never ends, so that run would not return.
