--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -281,3 +281,17 @@
 		t.Error("the account of the removed cap was kept")
 	}
 }
+
+func TestPoolLeavesRoomForTheTokensThatLendersKeep(t *testing.T) {
+	p := newPool(start)
+	p.add(start, start, "vm-0", Loan{Tenant: "courts", Rate: 10, Capacity: 20, Held: 5, Tokens: 20, Lease: time.Minute})
+	if p.tokens != 15 {
+		t.Errorf("the pool has %v tokens, expected 15", p.tokens)
+	}
+	if g := p.grant(start, "vm-0", Ask{Tenant: "courts", Spare: 4, Held: 5}); g.Tokens != 4 {
+		t.Errorf("granted %d tokens, expected 4", g.Tokens)
+	}
+	if p.accrue(start.Add(10 * time.Second)); p.tokens != 11 {
+		t.Errorf("the pool has %v tokens, expected 11 beside the 9 that the lender has", p.tokens)
+	}
+}
