replica: a pace and a cold rate count in the choice of reserves

A replica whose cold rate, ramp or pace gives the VM no turn kept the reserves from being borrowed, so that a VM of a late rank had no eligible replica in the whole cold period. And a pace was void for a VM whose other replicas were reserves or had a request in flight: it counted as alone, and 140 of 140 VMs could send 1 ms after a start. A rate-limited replica without a token made a paced one beside it ineligible.

A replica is now sound only if its ramp, rate and pace give a turn, and a VM is alone only if no other replica, reserves included, is sound; a full one is. A paced replica may be ejected: nine times slower, it was not.

Four tests fail without the change and pass with it: TestReserveReplicaIsBorrowedInColdPeriod, TestPaceHoldsBesideOtherReplicas, TestPacedReplicaBesideRateLimitedOne, TestSlowPacedReplicaIsEjected.

--- a/core/replica/choice.go
+++ b/core/replica/choice.go
@@ -77,13 +77,26 @@
 )
 
 // sound reports whether r can be expected to reply to the attempt, if perhaps after others:
-// it was not tried, and is neither slow, failing nor overdue.
+// it was not tried, is neither slow, failing nor overdue, and its ramp, its cold rate and its
+// pace give this VM a turn now. A replica that has as many attempts as its limit is sound.
 func (in *Selection) sound(r *State) bool {
+	return in.hasTurn(r) && in.performs(r)
+}
+
+// hasTurn reports whether r is usable for the attempt and its ramp, its cold rate and its
+// pace, without regard to other replicas, allow one.
+func (in *Selection) hasTurn(r *State) bool {
+	return r.Usable(in.Now) && !in.tried(r) && in.Holds(r) && r.Limit(in.Now) > 0 && r.coldRateAllows(in.Now) &&
+		(!r.paced(in.Now) || r.pace.Allows(in.Now, r.paceShare(), r.InFlight, in.MedianLatency, false))
+}
+
+// performs reports whether r is neither slow, failing nor overdue.
+func (in *Selection) performs(r *State) bool {
 	median := in.MedianLatency
 	if median == 0 {
 		median = assumedMedian
 	}
-	if !r.Usable(in.Now) || in.tried(r) || !in.Holds(r) || r.Overdue(in.Now, median) > 0 {
+	if r.Overdue(in.Now, median) > 0 {
 		return false
 	}
 	excess, failureRate := r.performance.decayed(in.Now)
--- a/core/replica/recovery.go
+++ b/core/replica/recovery.go
@@ -76,17 +76,17 @@
 	if !r.paced(in.Now) {
 		return true
 	}
-	return r.pace.Allows(in.Now, r.paceShare(), r.InFlight, in.MedianLatency, !in.hasUnpaced())
+	return r.pace.Allows(in.Now, r.paceShare(), r.InFlight, in.MedianLatency, in.alone(r))
 }
 
-// hasUnpaced reports whether a replica without a pace can take the attempt.
-func (in *Selection) hasUnpaced() bool {
-	for _, r := range in.Shard.Replicas {
-		if in.Versions.include(r) && r.Usable(in.Now) && !r.paced(in.Now) && r.InFlight < r.Limit(in.Now) && in.Holds(r) && !in.tried(r) && !in.reserved(r) {
-			return true
+// alone reports whether no other replica, reserves included, is sound.
+func (in *Selection) alone(r *State) bool {
+	for _, o := range in.Shard.Replicas {
+		if o != r && in.Versions.include(o) && in.sound(o) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // observePace passes the result of an attempt to the pace. The good reply that ends a pace
--- a/core/replica/recovery_test.go
+++ b/core/replica/recovery_test.go
@@ -118,3 +118,90 @@
 		t.Error("a second attempt may not borrow a reserve replica")
 	}
 }
+
+// TestReserveReplicaIsBorrowedInColdPeriod checks, for the VM of the last rank of 140 and a
+// cold replica with a rate, that each of its requests gets a replica in the whole cold
+// period, although that replica has no turn for it.
+func TestReserveReplicaIsBorrowedInColdPeriod(t *testing.T) {
+	start := ident.Instant(time.Hour)
+	for name, shares := range map[string]replica.Shares{
+		"rate":  {Slots: 4, Connections: 122, VMs: 140, Rank: 139, RampStep: time.Millisecond, ColdRate: 5},
+		"paced": {Slots: 4, Connections: 122, VMs: 140, Rank: 139, ColdRate: 5, Paced: true},
+		"ramp":  {Slots: 4, Connections: 122, VMs: 140, Rank: 139, RampStep: time.Second},
+	} {
+		sh := threeReplicas()
+		sh.Replicas[1].Reserve, sh.Replicas[2].Reserve = true, true
+		own := sh.Replicas[0]
+		own.Shares, own.ColdUntil = shares, start.Add(3*time.Second)
+		own.MarkCold(start, 1)
+		for now := start.Add(time.Millisecond); now < own.ColdUntil; now = now.Add(250 * time.Millisecond) {
+			if soonest(now, sh) == nil {
+				t.Fatalf("%s: no replica is eligible %v after the start", name, now.Sub(start))
+			}
+		}
+	}
+}
+
+// TestPaceHoldsBesideOtherReplicas checks that, 1 ms after a replica started, few of 140 VMs
+// may send to it while another replica is sound, as a reserve, or with the only request that
+// the VM may have there in flight.
+func TestPaceHoldsBesideOtherReplicas(t *testing.T) {
+	const vms = 140
+	start := ident.Instant(time.Hour)
+	for name, prepare := range map[string]func(o *replica.State){
+		"reserve": func(o *replica.State) { o.Reserve = true },
+		"full":    func(o *replica.State) { o.Sent(start) },
+	} {
+		sent := 0
+		for rank := range vms {
+			sh := threeReplicas()
+			for _, r := range sh.Replicas {
+				r.Shares = replica.Shares{Slots: 4, Connections: 122, VMs: vms, Rank: rank, Paced: true}
+			}
+			sh.Replicas[0].BeginPace(start)
+			prepare(sh.Replicas[1])
+			prepare(sh.Replicas[2])
+			in := replica.Selection{Now: start.Add(time.Millisecond), Shard: sh, MedianLatency: medianLatency}
+			if in.Eligible(sh.Replicas[0]) {
+				sent++
+			}
+		}
+		if sent > 4 {
+			t.Errorf("%s: %d of %d VMs may send", name, sent, vms)
+		}
+	}
+}
+
+// TestPacedReplicaBesideRateLimitedOne checks that a VM without a token of a cold, rate-limited
+// replica may use the paced one beside it.
+func TestPacedReplicaBesideRateLimitedOne(t *testing.T) {
+	start := ident.Instant(time.Hour)
+	sh := threeReplicas()
+	sh.Replicas = sh.Replicas[:2]
+	shares := replica.Shares{Slots: 4, Connections: 122, VMs: 140, Rank: 139, Paced: true}
+	sh.Replicas[0].Shares = shares
+	sh.Replicas[0].BeginPace(start)
+	shares.ColdRate = 5
+	sh.Replicas[1].Shares, sh.Replicas[1].ColdUntil = shares, start.Add(3*time.Second)
+	if soonest(start.Add(time.Millisecond), sh) != sh.Replicas[0] {
+		t.Error("the paced replica is not eligible")
+	}
+}
+
+// TestSlowPacedReplicaIsEjected checks that a replica that is nine times slower while paced is
+// ejected like a warm one.
+func TestSlowPacedReplicaIsEjected(t *testing.T) {
+	now := ident.Instant(time.Hour)
+	r := threeReplicas().Replicas[0]
+	r.Shares.Paced = true
+	r.BeginPace(now)
+	for n := 1; r.Condition(now) != replica.Ejected; n++ {
+		if n > 10 {
+			t.Fatal("the replica is not ejected after 10 slow replies")
+		}
+		now = now.Add(10 * medianLatency)
+		took := 9 * medianLatency
+		r.RecordResult(now, replica.AttemptResult{Outcome: replica.OK, Took: took, MedianLatency: medianLatency})
+		r.Observe(now, replica.Sample{Outcome: replica.OK, Took: took, SlowThreshold: 4 * medianLatency, Base: medianLatency, MayEject: true})
+	}
+}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -326,7 +326,7 @@
 
 // observeLatency updates the moving average of the latency and the adaptive limit.
 // While the average is above SlowThreshold, it ejects the replica or, during a ramp
-// without probation, repeats the ramp step. A sample is capped at 1.5 times
+// without probation, repeats the ramp step; a pace does not prevent the ejection. A sample is capped at 1.5 times
 // SlowThreshold, so that a single slow reply ejects only a replica that has no
 // earlier samples.
 func (s *State) observeLatency(now ident.Instant, m Sample) {
@@ -343,7 +343,7 @@
 		return
 	}
 	switch {
-	case s.condition == Cold && !s.probation:
+	case s.condition == Cold && !s.probation && !s.Shares.Paced:
 		s.repeatRampStep(now)
 	case m.MayEject && (s.condition == Warm || s.condition == Cold):
 		s.enterWithBackoff(Ejected, now, minEjection, maxEjection)
