node: a queue asks for a free slot with the median of its next part

The queue of a shard decided without the median of the latency whether a part may be sent. For a class with a longer one than 20 ms an attempt at the only replica of the subset counted as overdue, so that parts left the queue for a reserve, got none, were parked and lost their place. The queue now passes the median of the part that is next.

TestQueuedPartsStayQueued fails without the median and passes with it.

--- a/core/container/fairqueue.go
+++ b/core/container/fairqueue.go
@@ -125,6 +125,15 @@
 	return v, true
 }
 
+// Peek returns the value that Pop would remove.
+func (q *FairQueue[K, T]) Peek() (v T, ok bool) {
+	rank, _ := q.nextRank()
+	if rank < 0 {
+		return v, false
+	}
+	return q.levels[rank].waiting[0].values[0], true
+}
+
 // nextRank returns the rank of the next value, -1 for an empty queue, and whether it is
 // served before a higher one because of the floor.
 func (q *FairQueue[K, T]) nextRank() (rank int, owed bool) {
--- a/core/container/fairqueue_test.go
+++ b/core/container/fairqueue_test.go
@@ -96,7 +96,11 @@
 		}
 		checkShares(t, places, demands)
 		for range rapid.IntRange(0, q.Len()).Draw(t, "pops") {
+			next, _ := q.Peek()
 			flow, _ := q.Pop()
+			if next != flow {
+				t.Fatalf("Peek returns a value of flow %d, Pop of %d", next, flow)
+			}
 			if rapid.Bool().Draw(t, "dropped") {
 				places[flow]--
 				continue
--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -143,7 +143,7 @@
 // serveQueue sends attempts for queued parts while the shard has a free slot. A part
 // that can be deferred moves behind those that cannot.
 func (c *Core) serveQueue(now ident.Instant, svc *service, sh *shard) {
-	for sh.queue.Len() > 0 && sh.hasFreeSlot(now, svc) {
+	for sh.queue.Len() > 0 && c.hasFreeSlot(now, svc, sh) {
 		queued, _ := sh.queue.Pop()
 		q := c.query(ident.QueryID(queued.query))
 		if q == nil || q.answered || queued.part >= len(q.parts) || q.parts[queued.part].state != partQueued {
@@ -177,8 +177,18 @@
 	}
 }
 
-func (sh *shard) hasFreeSlot(now ident.Instant, svc *service) bool {
-	return sh.Usable(now) > 0 && sh.CanSend(now, svc.queueVersions())
+// hasFreeSlot reports whether an attempt for the next queued part may be sent.
+func (c *Core) hasFreeSlot(now ident.Instant, svc *service, sh *shard) bool {
+	if sh.Usable(now) == 0 {
+		return false
+	}
+	in := replica.Selection{Now: now, Shard: &sh.Shard, Versions: svc.queueVersions()}
+	if next, ok := sh.queue.Peek(); ok {
+		if q := c.query(ident.QueryID(next.query)); q != nil {
+			in.MedianLatency = q.profile.latency.Median(now)
+		}
+	}
+	return in.CanSend()
 }
 
 func (c *Core) park(now ident.Instant, q *query, i int) {
--- a/core/node/recovery_test.go
+++ b/core/node/recovery_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawaycross.example/carawaycross/core/node"
+	"carawaycross.example/carawaycross/core/replica"
 	"carawaycross.example/carawaycross/core/view"
 )
 
@@ -72,3 +73,47 @@
 		t.Errorf("a mean value of %.3f in the first second, expected 0.95", value/float64(arrived))
 	}
 }
+
+// TestQueuedPartsStayQueued checks, with one request at a time at the only replica of the
+// VM's subset and a median of 100 ms, that requests stay in the queue, in their order, while
+// that one is not overdue: its reply sends the next one.
+func TestQueuedPartsStayQueued(t *testing.T) {
+	c := newTroubleCase(t, 2)
+	c.install(func(s *view.Service) { s.Replicas[1].Reserve = true })
+	c.view.Services[0].Replicas[1].Reserve = true
+	c.amongVMs(140)
+	wait := func(d time.Duration) []node.Action {
+		var sent []node.Action
+		for end := c.now.Add(d); c.now < end; {
+			c.now = c.now.Add(5 * time.Millisecond)
+			c.core.Tick(c.now)
+			sent = append(sent, sends(c.core.Drain(nil))...)
+		}
+		return sent
+	}
+	for range 60 {
+		a := sends(c.ask(true))[0]
+		wait(100 * time.Millisecond)
+		c.reply(a, node.Reply{Outcome: replica.OK})
+	}
+	for range 5 {
+		running := sends(c.ask(true))[0]
+		next, last := len(sends(c.ask(true))), len(sends(c.ask(true)))
+		if next+last+len(wait(95*time.Millisecond)) > 0 {
+			t.Fatal("a request is sent beside the only one allowed")
+		}
+		for n := range 2 {
+			sent := sends(c.reply(running, node.Reply{Outcome: replica.OK}))
+			if len(sent) != 1 {
+				t.Fatalf("reply %d sends %d queued requests, expected 1", n, len(sent))
+			}
+			running = sent[0]
+			wait(50 * time.Millisecond)
+		}
+		c.reply(running, node.Reply{Outcome: replica.OK})
+	}
+}
+
+func sends(actions []node.Action) []node.Action {
+	return slices.DeleteFunc(actions, func(a node.Action) bool { return a.Kind != node.Send })
+}
--- a/core/replica/recovery.go
+++ b/core/replica/recovery.go
@@ -59,11 +59,9 @@
 	return max(int(s.pace.Total()/float64(max(s.Shares.VMs, 1))), 1)
 }
 
-// CanSend reports whether one more attempt at any replica of the versions is within the
-// limits.
-func (s *Shard) CanSend(now ident.Instant, versions Versions) bool {
-	in := Selection{Now: now, Shard: s, Versions: versions}
-	for _, r := range s.Replicas {
+// CanSend reports whether one more attempt at any replica is eligible.
+func (in *Selection) CanSend() bool {
+	for _, r := range in.Shard.Replicas {
 		if in.Eligible(r) {
 			return true
 		}
