mirror: mirrors that are down cost one wait together

Change: after a mirror that does not respond, the remaining calls of that read do not wait for changes.

--- a/serve/mirror/mirror_test.go
+++ b/serve/mirror/mirror_test.go
@@ -85,15 +85,20 @@
 	Unmarshal: func(b []byte) (string, error) { return string(b), nil },
 }
 
-// fakeTransport asks readers in this process. VMs in unreachable do not answer.
+// fakeTransport asks readers in this process. Connections to the VMs in unreachable are
+// refused, those in hanging never answer.
 type fakeTransport struct {
-	readers     map[ident.VMID]*mirror.Reader[string]
-	unreachable map[ident.VMID]bool
-	asked       int
+	readers              map[ident.VMID]*mirror.Reader[string]
+	unreachable, hanging map[ident.VMID]bool
+	asked                int
 }
 
 func (t *fakeTransport) Ask(ctx context.Context, to mirror.Member, q mirror.Question) (mirror.Answer[[]byte], error) {
 	t.asked++
+	if t.hanging[to.VM] {
+		<-ctx.Done()
+		return mirror.Answer[[]byte]{}, ctx.Err()
+	}
 	r := t.readers[to.VM]
 	if r == nil || t.unreachable[to.VM] {
 		return mirror.Answer[[]byte]{}, errDown
@@ -131,7 +136,10 @@
 	for i := range n {
 		members = append(members, mirror.Member{VM: ident.VMID(fmt.Sprint("vm-", i)), Zone: "z", Certificate: "c"})
 	}
-	transport := &fakeTransport{readers: map[ident.VMID]*mirror.Reader[string]{}, unreachable: map[ident.VMID]bool{}}
+	transport := &fakeTransport{
+		readers:     map[ident.VMID]*mirror.Reader[string]{},
+		unreachable: map[ident.VMID]bool{}, hanging: map[ident.VMID]bool{},
+	}
 	readers := make([]*mirror.Reader[string], n)
 	order := make([]ident.VMID, n)
 	for _, m := range members {
--- a/serve/mirror/outage_test.go
+++ b/serve/mirror/outage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"carawaycross.example/carawaycross/platform"
@@ -128,3 +129,28 @@
 		}
 	}
 }
+
+// TestMirrorsThatAreDownCostOneWait answers a VM that read from the store last while
+// several of its mirrors are down: it reaches the store after one wait.
+func TestMirrorsThatAreDownCostOneWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		store.set("a", "1")
+		readers, order, transport := newZone(store, 4)
+		for _, vm := range order[:3] {
+			transport.hanging[vm] = true
+		}
+		last := readers[3]
+		if _, err := last.List(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		// The mirrors are no longer excluded.
+		time.Sleep(6 * time.Second)
+		store.set("a", "2")
+		began := time.Now()
+		_, version, err := last.Changes(context.Background(), 1, 15*time.Second)
+		if err != nil || version != 2 || time.Since(began) > 2*time.Second {
+			t.Errorf("version %d, %v after %v", version, err, time.Since(began))
+		}
+	})
+}
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -245,6 +245,10 @@
 			r.cache.MarkDisconnected()
 			wait = 0
 		}
+		if result == silent {
+			// Several mirrors that are down must not cost a whole wait each.
+			wait = 0
+		}
 		if result != accepted {
 			continue
 		}
