replica: requests that must not run twice rarely borrow a reserve

A borrowed connection may be reset after the request was sent, and such a request is then not repeated. It borrows only if no replica of the subset is usable and gives the VM a turn; an overdue one keeps it.

TestAtMostOnceRequestsRarelyBorrow fails without the change and passes with it.

--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -185,7 +185,7 @@
 	in := replica.Selection{Now: now, Shard: &sh.Shard, Versions: svc.queueVersions()}
 	if next, ok := sh.queue.Peek(); ok {
 		if q := c.query(ident.QueryID(next.query)); q != nil {
-			in.MedianLatency = q.profile.latency.Median(now)
+			in.MedianLatency, in.AtMostOnce = q.profile.latency.Median(now), !q.repeatable()
 		}
 	}
 	return in.CanSend()
--- a/core/replica/choice.go
+++ b/core/replica/choice.go
@@ -56,13 +56,14 @@
 		in.Holds(r) && !in.tried(r) && !in.reserved(r) && in.paceAllows(r)
 }
 
-// reserved reports whether r gets no attempt because another replica is sound.
+// reserved reports whether r gets no attempt because another replica is sound. For a request
+// that must not run twice another usable one suffices: a reserve may reset the connection.
 func (in *Selection) reserved(r *State) bool {
 	if !r.Reserve {
 		return false
 	}
 	for _, o := range in.Shard.Replicas {
-		if !o.Reserve && in.Versions.include(o) && in.sound(o) {
+		if !o.Reserve && in.Versions.include(o) && in.hasTurn(o) && (in.AtMostOnce || in.performs(o)) {
 			return true
 		}
 	}
--- a/core/replica/recovery_test.go
+++ b/core/replica/recovery_test.go
@@ -205,3 +205,31 @@
 		r.Observe(now, replica.Sample{Outcome: replica.OK, Took: took, SlowThreshold: 4 * medianLatency, Base: medianLatency, MayEject: true})
 	}
 }
+
+// TestAtMostOnceRequestsRarelyBorrow checks that a request that must not run twice does not
+// borrow a reserve, which may reset the connection, while the VM's own replica is usable but
+// overdue, and does if that is leaving or tried.
+func TestAtMostOnceRequestsRarelyBorrow(t *testing.T) {
+	start := ident.Instant(time.Hour)
+	sh := threeReplicas()
+	sh.Replicas[1].Reserve, sh.Replicas[2].Reserve = true, true
+	own := sh.Replicas[0]
+	own.Sent(start)
+	now := start.Add(5 * medianLatency)
+	in := replica.Selection{Now: now, Shard: sh, MedianLatency: medianLatency, AtMostOnce: true}
+	if in.Eligible(sh.Replicas[1]) {
+		t.Error("a reserve is borrowed while the own replica is usable")
+	}
+	if !in.Eligible(own) {
+		t.Error("the own replica is not eligible")
+	}
+	in.Tried = []*replica.State{own}
+	if !in.Eligible(sh.Replicas[1]) {
+		t.Error("no reserve is borrowed after the own replica was tried")
+	}
+	in.Tried = nil
+	own.MarkLeaving(now)
+	if !in.Eligible(sh.Replicas[1]) {
+		t.Error("no reserve is borrowed while the own replica is leaving")
+	}
+}
