intake, gate: unread answers give their memory up

Whole requests whose answers nobody read kept all request memory for 30 s per 64 KiB, and ordinary bodies were refused: a connection that has taken nothing of its answer for a second is now closed when memory is short. A refused request that wrote an early answer kept its memory as long: its whole answer now has half a second. The wait for released memory ends at half of the time that is left for the request. The short time of the gate's tests applies only to the cases of slow bodies.

The new tests fail without the change: 503 after 5 s or at once.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -68,13 +68,18 @@
 	ending bool
 }
 
+// stalled reports whether the caller has taken nothing of its answer for a while.
+func (c *connection) stalled(now ident.Instant) bool {
+	return c.writing && now.Sub(c.moved) >= slowAfter
+}
+
 // slow reports whether a caller takes longer than ordinary ones: to send a head, to go on
 // with a body, or to take an answer.
 func (c *connection) slow(now ident.Instant) bool {
 	age, still := now.Sub(c.began), now.Sub(c.moved)
 	switch {
 	case c.writing:
-		return still >= slowAfter
+		return c.stalled(now)
 	case c.phase == Waiting, c.phase == Head:
 		return age >= slowAfter
 	case c.phase == Discarding:
@@ -247,6 +252,12 @@
 	}
 }
 
+// Stalled reports whether the caller has taken nothing of its answer for a while.
+func (l *Ledger[K]) Stalled(now ident.Instant, k K) bool {
+	c := l.connections[k]
+	return c != nil && c.stalled(now)
+}
+
 // A Verdict is the result of Hold.
 type Verdict uint8
 
@@ -261,8 +272,8 @@
 )
 
 // Hold reserves n bytes for the request of a connection. Where they do not fit, it
-// refuses requests that are still arriving and returns their connections, which must
-// release their memory at once.
+// refuses requests that are still arriving, and gives up answers that are not read. It
+// returns their connections, which must release their memory at once.
 func (l *Ledger[K]) Hold(now ident.Instant, k K, n ident.Bytes) (refused []K, verdict Verdict) {
 	c := l.connections[k]
 	if c == nil || c.phase >= Refused {
@@ -308,14 +319,14 @@
 func (c *connection) done() bool { return c.phase == Discarding || c.phase == Refused }
 
 // costliest returns the connection whose request is refused first: one that is done
-// already, then a slow one, then the one with the largest memory times age. The request of
+// already, then a slow one, also one whose answer is not read, then the one with the largest memory times age. The request of
 // asking is one of them, with the n bytes that it asks for.
 func (l *Ledger[K]) costliest(now ident.Instant, asking *connection, n ident.Bytes) (victim K, found bool) {
 	asking.held += n
 	defer func() { asking.held -= n }()
 	var worst *connection
 	for k, c := range l.connections {
-		if c.held == 0 || c.ending || (c.phase != Head && c.phase != Body && !c.done()) {
+		if c.held == 0 || c.ending || (c.phase != Head && c.phase != Body && !c.done() && !c.stalled(now)) {
 			continue
 		}
 		if worst == nil || costlier(now, c, worst) {
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -178,6 +178,30 @@
 	}
 }
 
+// TestWholeRequestsWhoseAnswersAreNotRead has callers that send whole requests and read
+// nothing of the answers. Their memory is wanted once they have stood still; that of
+// requests that run, or whose answers are taken, is not.
+func TestWholeRequestsWhoseAnswersAreNotRead(t *testing.T) {
+	l, now := newLedger(), start
+	for k := range 4 {
+		arrive(l, now, k, largeBody)
+		l.Enter(now, k, intake.Running)
+		l.Write(now, k, k >= 2)
+	}
+	now = now.Add(2 * time.Second)
+	l.Write(now, 2, true)
+	l.Open(now, -1)
+	l.Enter(now, -1, intake.Head)
+	refused, verdict := l.Hold(now, -1, smallBody)
+	if verdict != intake.Wait || len(refused) != 1 || refused[0] != 3 || !l.Stalled(now, 3) {
+		t.Fatalf("verdict %d, refused %v", verdict, refused)
+	}
+	l.Close(3)
+	if _, verdict = l.Hold(now, -1, smallBody); verdict != intake.Held {
+		t.Errorf("verdict %d after an answer was given up", verdict)
+	}
+}
+
 // TestLedgerKeepsItsLimits checks with random events that the limits hold, that only
 // requests that are still arriving are refused, and that all memory is returned.
 func TestLedgerKeepsItsLimits(t *testing.T) {
--- a/serve/gate/conn.go
+++ b/serve/gate/conn.go
@@ -62,6 +62,11 @@
 	aborted bool
 	// isRefused is true after the request was refused for memory.
 	isRefused bool
+	// isWriting is true while an answer is written.
+	isWriting bool
+	// writeEnd is the end of the time for the answer to a request that was refused; zero
+	// for none.
+	writeEnd time.Time
 }
 
 func newConn(g *Gate, inner net.Conn) *conn {
@@ -142,12 +147,51 @@
 	return ok
 }
 
-// refuse makes reads of the request fail.
+// refuse makes reads of the request fail, and ends an answer that is not read soon.
 func (c *conn) refuse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isRefused = true
 	_ = c.armLocked()
+	if c.isWriting {
+		_ = c.armWriteLocked()
+	}
+}
+
+// armWriteLocked puts a deadline for the next part of an answer in force. The whole
+// answer to a refused request has one.
+func (c *conn) armWriteLocked() error {
+	if !c.isRefused {
+		return c.Conn.SetWriteDeadline(time.Now().Add(answerTime))
+	}
+	if c.writeEnd.IsZero() {
+		c.writeEnd = time.Now().Add(lingerTime)
+	}
+	return c.Conn.SetWriteDeadline(c.writeEnd)
+}
+
+// writePart records that a part of an answer is about to be written, and sets its deadline.
+func (c *conn) writePart() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isWriting = true
+	return c.armWriteLocked()
+}
+
+func (c *conn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isWriting = false
+}
+
+// holdWait returns how long the request may wait for memory.
+func (c *conn) holdWait() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.deadline.IsZero() {
+		return maxHoldWait
+	}
+	return min(maxHoldWait, max(time.Until(c.deadline), 0)/holdShare)
 }
 
 func (c *conn) refused() bool {
@@ -262,9 +306,10 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing(true)
 	defer c.writing(false)
+	defer c.endWrite()
 	written := 0
 	for {
-		if err := c.SetWriteDeadline(time.Now().Add(answerTime)); err != nil {
+		if err := c.writePart(); err != nil {
 			return written, err
 		}
 		piece := p[written:min(len(p), written+writePiece)]
--- a/serve/gate/gate.go
+++ b/serve/gate/gate.go
@@ -59,8 +59,11 @@
 	maxBodyTime = time.Minute
 	// answerTime is how long a caller may read nothing of its answer.
 	answerTime = 30 * time.Second
-	// maxHoldWait bounds the wait for memory that refused requests release.
+	// maxHoldWait bounds the wait for memory that refused requests release. It takes at
+	// most one part in holdShare of the time that is left, so that the request can be
+	// served after it.
 	maxHoldWait = 5 * time.Second
+	holdShare   = 2
 	// logInterval is the least time between two log lines about callers turned away.
 	logInterval = 10 * time.Second
 )
@@ -224,7 +227,7 @@
 			return verdict == intake.Held
 		}
 		if timeout == nil {
-			timer := time.NewTimer(maxHoldWait)
+			timer := time.NewTimer(c.holdWait())
 			defer timer.Stop()
 			timeout = timer.C
 		}
@@ -241,8 +244,15 @@
 // closed after a change.
 func (g *Gate) tryHold(c *conn, n ident.Bytes) (intake.Verdict, <-chan struct{}) {
 	g.mu.Lock()
-	refused, verdict := g.ledger.Hold(g.config.Clock.Now(), c, n)
+	now := g.config.Clock.Now()
+	refused, verdict := g.ledger.Hold(now, c, n)
+	var stalled []*conn
 	for _, victim := range refused {
+		if g.ledger.Stalled(now, victim) {
+			stalled = append(stalled, victim)
+			g.countLocked(victim, UnreadAnswer)
+			continue
+		}
 		g.countLocked(victim, Memory)
 	}
 	if len(refused) > 0 {
@@ -261,6 +271,10 @@
 	for _, victim := range refused {
 		victim.refuse()
 	}
+	for _, victim := range stalled {
+		// The goroutine that writes the answer releases its memory.
+		_ = victim.Conn.Close()
+	}
 	return verdict, released
 }
 
--- a/serve/gate/gate_test.go
+++ b/serve/gate/gate_test.go
@@ -24,6 +24,11 @@
 const (
 	memory    = 64 << 10
 	bodyBytes = 16 << 10
+	// unreadBytes exceeds what the sockets take of an answer that nobody reads.
+	unreadBytes = 16 << 20
+	// shortTime is the time for bodies at /slow, hurriedTime that at /hurried.
+	shortTime   = 300 * time.Millisecond
+	hurriedTime = time.Second
 )
 
 // startServer serves on loopback through a gate. Its handler reads bodies as the product's
@@ -40,7 +45,21 @@
 	}
 	server := g.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request := gate.RequestOf(r.Context())
-		request.ArriveWithin(300 * time.Millisecond)
+		switch r.URL.Path {
+		case "/slow":
+			request.ArriveWithin(shortTime)
+		case "/hurried":
+			request.ArriveWithin(hurriedTime)
+		case "/early":
+			_, _ = io.WriteString(w, strings.Repeat("y", unreadBytes))
+			return
+		}
+		if r.URL.Path == "/held-early" {
+			// It goes on using its memory after a refusal.
+			_ = request.Reserve(bodyBytes, bodyBytes)
+			<-release
+			return
+		}
 		_, _, err := body.ReadWithin(r.Body, bodyBytes, request)
 		var turnedAway *gate.Error
 		switch {
@@ -57,6 +76,9 @@
 			request.Retain()
 			go func() { <-release; request.Done() }()
 		}
+		if r.URL.Path == "/large" {
+			_, _ = io.WriteString(w, strings.Repeat("y", unreadBytes))
+		}
 	}))
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(g.Listener(l)) }()
@@ -110,8 +132,8 @@
 		"long head":     {"GET / HTTP/1.1\r\nLong: " + strings.Repeat("x", 12<<10), 431},
 		"many fields":   {"GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", 1000), 503},
 		"slow head":     {"GET / HTTP/1.1\r\nHost", 408},
-		"slow body":     {post("/", bodyBytes, bodyBytes-1), 408},
-		"slow chunks":   {"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", 408},
+		"slow body":     {post("/slow", bodyBytes, bodyBytes-1), 408},
+		"slow chunks":   {"POST /slow HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", 408},
 		"asks nothing":  {"", 0},
 		"empty lines":   {"\r\n\r\n", 400},
 		"two at a time": {strings.Repeat(post("/", 10, 10), 2), 200},
@@ -155,6 +177,59 @@
 	}
 }
 
+// fill sends requests one after another until their memory leaves no room for a body.
+func fill(t *testing.T, g *gate.Gate, address, text string) {
+	t.Helper()
+	for held := ident.Bytes(0); held <= memory-bodyBytes; {
+		send(t, address, text)
+		before := held
+		for end := time.Now().Add(10 * time.Second); held < before+bodyBytes; time.Sleep(time.Millisecond) {
+			if held = g.Stats().HeldBytes; time.Now().After(end) {
+				t.Fatalf("%d bytes are held", held)
+			}
+		}
+	}
+}
+
+// TestUnreadAnswersGiveTheirMemoryUp has callers that read nothing of their answers, to
+// whole requests and to requests that were answered before their bodies had arrived. An
+// ordinary body is served beside them, soon.
+func TestUnreadAnswersGiveTheirMemoryUp(t *testing.T) {
+	fields := strings.Repeat("a:\r\n", 66)
+	early := "POST /early HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n" + fields + "\r\n"
+	for name, text := range map[string]string{
+		"whole": post("/large", bodyBytes, bodyBytes), "early": early + "0123456789", "early without body": early,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g, address := startServer(t, gate.Times{}, nil)
+			fill(t, g, address, text)
+			time.Sleep(1200 * time.Millisecond)
+			begin := time.Now()
+			if got := status(send(t, address, post("/", bodyBytes, bodyBytes))); got != http.StatusOK || time.Since(begin) > 3*time.Second {
+				t.Errorf("status %d after %v", got, time.Since(begin))
+			}
+			if n := g.Stats().TurnedAway; len(n) == 0 {
+				t.Error("nobody was turned away")
+			}
+		})
+	}
+}
+
+// TestWaitForMemoryEndsBeforeTheDeadline has refused requests whose memory is not released,
+// since an attempt still refers to it.
+func TestWaitForMemoryEndsBeforeTheDeadline(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	g, address := startServer(t, gate.Times{}, release)
+	fill(t, g, address, post("/held-early", bodyBytes, bodyBytes-1))
+	begin := time.Now()
+	got := status(send(t, address, post("/hurried", bodyBytes, bodyBytes)))
+	if took := time.Since(begin); got != http.StatusServiceUnavailable || took > hurriedTime {
+		t.Errorf("status %d after %v", got, took)
+	}
+}
+
 // TestRequestWithoutGate checks that a handler runs without a gate.
 func TestRequestWithoutGate(t *testing.T) {
 	request := gate.RequestOf(context.Background())
