gate: lines count in heads only; 4 MiB of request memory at least

Newlines of a body in the same read as its head counted as fields of 512 bytes, so that a body of 1,000 newlines was refused beside 64 KiB. Counting ends at the empty line. What follows it counts for the next head, also one that is never read by itself; such a head behind a body was not counted at all. The least request memory was less than the largest head of short fields and a largest body together.

--- a/serve/gate/conn.go
+++ b/serve/gate/conn.go
@@ -43,9 +43,19 @@
 type conn struct {
 	net.Conn
 	gate *Gate
-	// The counts of the head that is arriving, and what was reserved for it. Only the
-	// goroutine that reads requests accesses them.
-	headBytes, headLines, headHeld ident.Bytes
+	// The fields from here to bodyLeft are only accessed by the goroutine that reads
+	// requests. head counts the head that is arriving, headHeld was reserved for it, and
+	// headRead is true after a part of it was read for it.
+	head     head
+	headHeld ident.Bytes
+	headRead bool
+	// behind counts what was read behind the latest request. rest is what was read behind
+	// its head; it is kept only if it has more lines than a head may have for nothing.
+	behind head
+	rest   []byte
+	// restBytes is the length of what was read behind the head, bodyLeft the part of the
+	// body that was not read; negative if the next head was, or if it is not known.
+	restBytes, bodyLeft ident.Bytes
 	// counted is true after the caller was counted as turned away. The mutex of the Gate
 	// guards it.
 	counted bool
@@ -216,15 +226,41 @@
 	c.enter(intake.Idle, deadline)
 }
 
-// begin is called when the head of a request was read. It returns false if the caller was
-// turned away before.
-func (c *conn) begin(hasBody bool) (r *Request, ok bool) {
-	r = &Request{conn: c, users: 1, arrived: !hasBody}
+// begin is called when the head of a request was read. Length is that of the body, -1 if
+// it is not known. It returns false if the caller was turned away before.
+func (c *conn) begin(length ident.Bytes) (r *Request, ok bool) {
+	r = &Request{conn: c, users: 1, arrived: length == 0}
 	c.gate.update(func(ident.Instant, *intake.Ledger[*conn]) { c.request = r })
-	if hasBody {
-		return r, c.enter(intake.Body, time.Now().Add(maxBodyTime))
+	phase, deadline := intake.Running, time.Time{}
+	if length != 0 {
+		phase, deadline = intake.Body, time.Now().Add(maxBodyTime)
 	}
-	return r, c.enter(intake.Running, time.Time{})
+	// A head that was read behind another request has no reservation so far.
+	if cost := c.behind.cost(); !c.headRead && cost > 0 {
+		c.enter(intake.Head, time.Now().Add(c.gate.times().HeadTime))
+		if !c.gate.hold(c, cost) {
+			return r, false
+		}
+	}
+	if c.headRead {
+		c.behind = head{}
+		if rest := c.rest; length >= 0 {
+			c.behind = next(rest[min(len(rest), int(length)):])
+		}
+		c.bodyLeft, c.rest = length-c.restBytes, nil
+	}
+	c.headRead = false
+	return r, c.enter(phase, deadline)
+}
+
+// receiveBody counts bytes that arrive after a head.
+func (c *conn) receiveBody(p []byte) {
+	if n := ident.Bytes(len(p)); c.bodyLeft > 0 {
+		if c.bodyLeft -= n; c.bodyLeft < 0 {
+			c.behind = next(p[n+c.bodyLeft:])
+		}
+	}
+	c.gate.update(func(now ident.Instant, l *intake.Ledger[*conn]) { l.Receive(now, c, ident.Bytes(len(p))) })
 }
 
 // Read returns what the caller sends. It ends a head that exceeds a limit with a refusal
@@ -240,13 +276,13 @@
 	}
 	switch phase {
 	case intake.Waiting, intake.Idle:
-		c.headBytes, c.headLines, c.headHeld = 0, 0, 0
+		c.head, c.headHeld = c.behind, 0
 		c.enter(intake.Head, time.Now().Add(c.gate.times().HeadTime))
 		return c.receiveHead(p[:n])
 	case intake.Head:
 		return c.receiveHead(p[:n])
 	case intake.Body, intake.Discarding:
-		c.gate.update(func(now ident.Instant, l *intake.Ledger[*conn]) { l.Receive(now, c, ident.Bytes(n)) })
+		c.receiveBody(p[:n])
 	case intake.Running, intake.Refused, intake.Closed:
 	}
 	return n, err
@@ -255,15 +291,19 @@
 // receiveHead counts bytes of a head, which may be followed by some of the body. It
 // returns their number, or 0 and io.EOF after a refusal.
 func (c *conn) receiveHead(p []byte) (int, error) {
-	c.headBytes += ident.Bytes(len(p))
-	c.headLines += ident.Bytes(bytes.Count(p, []byte("\n")))
-	if c.headBytes > c.gate.times().HeadBytes {
+	c.headRead = true
+	rest := c.head.add(p)
+	c.rest, c.restBytes = nil, ident.Bytes(len(rest))
+	if bytes.Count(rest, []byte("\n")) > freeHeadLines {
+		c.rest = bytes.Clone(rest)
+	}
+	if c.head.bytes > c.gate.times().HeadBytes {
 		c.gate.turnAway(c, LongHead)
 		err := c.answer(longHead)
 		c.linger()
 		return 0, err
 	}
-	cost := max(c.headBytes-freeHeadBytes, 0) + fieldCost*max(c.headLines-freeHeadLines, 0)
+	cost := c.head.cost()
 	if cost <= c.headHeld {
 		return len(p), nil
 	}
--- a/serve/gate/gate.go
+++ b/serve/gate/gate.go
@@ -158,7 +158,7 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		request, ok := c.begin(r.ContentLength != 0)
+		request, ok := c.begin(ident.Bytes(r.ContentLength))
 		defer request.end()
 		if !ok {
 			w.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter/time.Second)))
--- a/serve/gate/gate_test.go
+++ b/serve/gate/gate_test.go
@@ -230,6 +230,48 @@
 	}
 }
 
+// TestLinesAreCountedInHeadsOnly has bodies of empty lines, which take no more than their
+// bytes, and heads of many fields that arrive behind another request.
+func TestLinesAreCountedInHeadsOnly(t *testing.T) {
+	const lines = 1000
+	fields := "GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", 900) + "\r\n"
+	body := fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", lines, strings.Repeat("\n", lines))
+	for name, c := range map[string]struct {
+		parts []string
+		want  []int
+	}{
+		"body":                     {[]string{body + "GET / HTTP/1.1\r\nHost: x\r\n\r\n"}, []int{200, 200}},
+		"body in parts":            {[]string{body[:lines], body[lines:], body}, []int{200, 200}},
+		"head behind a head":       {[]string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n" + fields}, []int{200, 503}},
+		"head behind a body":       {[]string{post("/", 1, 1) + fields}, []int{200, 503}},
+		"head behind a later body": {[]string{post("/", 1, 0), "x" + fields}, []int{200, 503}},
+		"half a head":              {[]string{post("/", 1, 1) + fields[:2000], fields[2000:]}, []int{200, 503}},
+		"empty lines and a head":   {[]string{post("/", 1, 1), "\r\n" + fields}, []int{200, 503}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, address := startServer(t, gate.Times{}, nil)
+			client := send(t, address, "")
+			for _, part := range c.parts {
+				_, _ = io.WriteString(client, part)
+				time.Sleep(50 * time.Millisecond)
+			}
+			answers := bufio.NewReader(client)
+			_ = client.SetReadDeadline(time.Now().Add(10 * time.Second))
+			for i, want := range c.want {
+				r, err := http.ReadResponse(answers, nil)
+				if err != nil {
+					t.Fatalf("answer %d: %v", i, err)
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				if _ = r.Body.Close(); r.StatusCode != want {
+					t.Errorf("answer %d: status %d, expected %d", i, r.StatusCode, want)
+				}
+			}
+		})
+	}
+}
+
 // TestRequestWithoutGate checks that a handler runs without a gate.
 func TestRequestWithoutGate(t *testing.T) {
 	request := gate.RequestOf(context.Background())
--- a/serve/settings/check.go
+++ b/serve/settings/check.go
@@ -34,7 +34,7 @@
 	// Request memory is in bytes. A listener must hold a request of the largest size that
 	// the operators' door reads.
 	defaultRequestMemory     = 64 << 20
-	minRequestMemory         = 2 << 20
+	minRequestMemory         = 4 << 20
 	maxRequestMemory         = 64 << 30
 	defaultCallerConnections = 4096
 	minCallerConnections     = 16
