mirror, watch: VMs that restart together return to their mirrors soon

Change: a VM that the store serves asks one silent mirror a round; its waits at the store are 1 s at first and 4 s at most; a call waits for the probe that is running.

Result: tests of serve/mirror, serve/watch and proof/model pass, three times.

--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// maxStoreWait limits a wait for changes at the store by a VM that should read from
-	// a mirror. The VM then asks its mirrors again.
-	maxStoreWait = 5 * time.Second
+	// A wait for changes at the store by a VM that should read from a mirror is limited to
+	// minStoreWait, doubled with each read up to maxStoreDoublings times. The VM then asks
+	// its mirrors again, which may have started together with it.
+	minStoreWait      = time.Second
+	maxStoreDoublings = 2
 	// reconnectDelay is how long a VM that should read from a mirror pauses after it
 	// found the store silent, so that its mirror is the first to read the store when it
 	// responds again. It covers a probe and a call.
@@ -95,6 +97,9 @@
 	// storeCalledAt is when the store was last called. It is only accessed by List and
 	// Changes.
 	storeCalledAt time.Time
+	// storeReads counts the reads from the store since a mirror last answered. It is only
+	// accessed by Changes.
+	storeReads int
 	// pathLostAt is when the VM lost its path to the store; zero while it has one. It is
 	// only accessed by List and Changes.
 	pathLostAt time.Time
@@ -245,14 +250,14 @@
 			r.cache.MarkDisconnected()
 			wait = 0
 		}
-		if result == silent {
+		if result == silent && r.cache.readsStore() {
 			// Several mirrors that are down must not cost a whole wait each.
-			wait = 0
+			break
 		}
 		if result != accepted {
 			continue
 		}
-		r.pathLostAt = time.Time{}
+		r.pathLostAt, r.storeReads = time.Time{}, 0
 		if a.Outcome == Compacted {
 			return nil, after, compacted()
 		}
@@ -300,7 +305,8 @@
 // readStore waits for changes in the store.
 func (r *Reader[T]) readStore(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[T], platform.StoreVersion, error) {
 	if !r.selector.ReadsStore() {
-		wait = min(wait, maxStoreWait)
+		wait = min(wait, minStoreWait<<min(r.storeReads, maxStoreDoublings))
+		r.storeReads++
 	}
 	r.storeCalledAt = r.time()
 	changes, version, err := r.source.Changes(ctx, after, wait)
--- a/serve/watch/prober.go
+++ b/serve/watch/prober.go
@@ -54,8 +54,9 @@
 	probes uint64
 	// lastErr is the error of the last probe, or nil if the store responded.
 	lastErr error
-	// probedAt is when the last probe started.
+	// probedAt is when the last probe started, and running is closed when it ends.
 	probedAt time.Time
+	running  chan struct{}
 	// updated signals that the store became silent or responds again, or that a first
 	// call waits.
 	updated task.Signal
@@ -76,19 +77,22 @@
 			}
 			continue
 		}
-		behind, err := p.runProbe(ctx, probe)
-		p.recordProbe(id, behind, err)
+		p.runProbe(ctx, id, probe)
 	}
 }
 
-// runProbe runs a probe for at most probeTimeout.
-func (p *Prober) runProbe(ctx context.Context, probe probeFunc) (bool, error) {
+// runProbe runs a probe, for the call id or for none if id is 0, for at most probeTimeout
+// and records its result.
+func (p *Prober) runProbe(ctx context.Context, id uint64, probe probeFunc) {
+	ended := make(chan struct{})
+	defer close(ended)
 	p.mu.Lock()
-	p.probedAt = time.Now()
+	p.probedAt, p.running = time.Now(), ended
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return probe(ctx)
+	behind, err := probe(ctx)
+	p.recordProbe(id, behind && id != 0, err)
 }
 
 // nextProbe selects the waiting call whose last probe was longest ago. If the next probe
@@ -143,8 +147,9 @@
 // again, or after recoveryWait.
 func (p *Prober) guard(ctx context.Context, probe probeFunc) (guarded context.Context, release func(), err error) {
 	if p.probeIsStale() {
-		_, err := p.runProbe(ctx, probe)
-		p.recordProbe(0, false, err)
+		p.runProbe(ctx, 0, probe)
+	} else {
+		p.awaitProbe(ctx)
 	}
 	if err := p.awaitRecovery(ctx, probe); err != nil {
 		return nil, nil, err
@@ -157,6 +162,21 @@
 	}, nil
 }
 
+// awaitProbe waits until the latest probe has ended, unless the store is known to be
+// silent. Several kinds that lose their mirror together then cost one call.
+func (p *Prober) awaitProbe(ctx context.Context) {
+	p.mu.Lock()
+	running, isSilent := p.running, p.lastErr != nil
+	p.mu.Unlock()
+	if running == nil || isSilent {
+		return
+	}
+	select {
+	case <-running:
+	case <-ctx.Done():
+	}
+}
+
 func (p *Prober) probeIsStale() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
