rollout: a roll-back lasts, completion needs capacity, the queue follows the plan

Cause (review): the bar on a rolled back version ended when its replicas were not listed for a moment, or when a VM restarted; a restarted VM got the advance of Most again; an order was completed with one of six replicas of the target left, and with answers under suspicion; a step could fall when another judge took over; a VM that had completed ignored a roll-back while the store was silent; at Takeover, parts left the queue for idle replicas of the old version and were parked.

Change: one rule each, in Manager, Judge and queueVersions.

--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -182,7 +182,8 @@
 	if sh.Usable(now) == 0 {
 		return false
 	}
-	in := replica.Selection{Now: now, Shard: &sh.Shard, Versions: svc.queueVersions()}
+	in := replica.Selection{Now: now, Shard: &sh.Shard}
+	in.Versions = svc.queueVersions(&in)
 	if next, ok := sh.queue.Peek(); ok {
 		if q := c.query(ident.QueryID(next.query)); q != nil {
 			in.MedianLatency, in.AtMostOnce = q.profile.latency.Median(now), !q.repeatable()
--- a/core/node/rollout.go
+++ b/core/node/rollout.go
@@ -81,12 +81,19 @@
 	return false
 }
 
-// queueVersions returns the versions to which queued parts may go.
-func (s *service) queueVersions() replica.Versions {
-	if s.rollout == nil || s.rollout.exposure.Prefers(s.rollout.plan) {
+// queueVersions returns the versions to which the next queued part may go, as decide would
+// choose: a part that leaves the queue for a version that decide does not pick would lose
+// its place.
+func (s *service) queueVersions(in *replica.Selection) replica.Versions {
+	switch ro := s.rollout; {
+	case ro == nil:
 		return replica.AnyVersion
+	case !ro.exposure.Prefers(ro.plan):
+		return replica.OnlyOthers
+	case ro.plan.Step == rollout.Takeover && targetUsable(in):
+		return replica.OnlyTarget
 	}
-	return replica.OnlyOthers
+	return replica.AnyVersion
 }
 
 func (s *service) countFirst() {
--- a/core/node/rollout_test.go
+++ b/core/node/rollout_test.go
@@ -82,3 +82,39 @@
 		t.Error("a removed service is still reported")
 	}
 }
+
+// TestQueueKeepsItsOrderAtTakeover answers more load at Takeover than the target can carry,
+// while replicas of the old version are idle: the urgent class is served first, as it is
+// without a rollout on the same replicas.
+func TestQueueKeepsItsOrderAtTakeover(t *testing.T) {
+	served := func(sim *routedSimulation) (urgent, rest float64) {
+		share := func(name ident.RouteID) float64 {
+			o := sim.outcomes[name]
+			return float64(o.inGoal+o.partial+o.late) / float64(o.arrived)
+		}
+		first := sim.gatherRoute("urgent", 0, 300*time.Millisecond, 1, 0)
+		last := sim.gatherRoute("archive", 0, 300*time.Millisecond, 1, 2)
+		until := sim.now.Add(5 * time.Second)
+		for _, load := range []workload{{route: first, ratePerSecond: 300}, {route: last, ratePerSecond: 1200}} {
+			load.serviceTime, load.deadline = 10*time.Millisecond, 300*time.Millisecond
+			sim.scheduleArrivals(&load, until)
+		}
+		sim.schedule(until.Add(time.Second), func() {
+			sim.view.Services[0].Rollout = nil
+			sim.core.Install(sim.now, sim.view)
+		})
+		sim.run()
+		return share("urgent"), share("archive")
+	}
+	alone := rolloutSimulation(rollout.Takeover)
+	alone.view.Services[0].Rollout = nil
+	alone.view.Services[0].Replicas = alone.view.Services[0].Replicas[:2]
+	alone.core.Install(alone.now, alone.view)
+	urgentAlone, archiveAlone := served(alone)
+	urgent, archive := served(rolloutSimulation(rollout.Takeover))
+	t.Logf("urgent %.3f, archive %.3f; on the target's replicas alone %.3f, %.3f", urgent, archive, urgentAlone, archiveAlone)
+	const tolerance = 0.05
+	if urgent < urgentAlone-tolerance || archive < archiveAlone-tolerance {
+		t.Error("the order of the queue is lost")
+	}
+}
--- a/core/rollout/advance.go
+++ b/core/rollout/advance.go
@@ -46,6 +46,9 @@
 	// decisionTime is the part of the duration after which an order that has not reached
 	// Takeover is rolled back.
 	decisionTime = 0.85
+	// lastTime is the part of the duration after which a target that is not fit at Takeover
+	// is given up.
+	lastTime = 0.97
 )
 
 // advance enters the next step once the present one has lasted long enough. Only a judge
@@ -87,13 +90,31 @@
 		}
 	case Takeover:
 		unheard := heard < vms && inStep < absentAfter
-		if inStep >= j.takeoverTime() && capacity.Target > 0 && !othersInUse && !unheard {
-			j.stage = Completed
-			j.reason = fmt.Sprintf("%d answers, no requests at other versions, %d of %d VMs; age %v", j.answers, heard, vms, age.Round(time.Millisecond))
+		switch {
+		case !j.fits(capacity):
+			j.abandon(age, capacity)
+		case inStep >= j.takeoverTime() && !othersInUse && !unheard:
+			j.complete(age, heard, vms)
 		}
 	}
 }
 
+func (j *Judge) complete(age time.Duration, heard, vms int) {
+	j.stage = Completed
+	j.reason = fmt.Sprintf("%d answers, no requests at other versions, %d of %d VMs; age %v", j.answers, heard, vms, age.Round(time.Millisecond))
+}
+
+// abandon rolls an order back that reached Takeover and can't be completed in time: the
+// target lost its replicas there, or its answers are worse.
+func (j *Judge) abandon(age time.Duration, capacity Capacity) {
+	if age < scale(j.order.Duration, lastTime) {
+		return
+	}
+	j.stage = RolledBack
+	j.reason = fmt.Sprintf("not fit at the end: suspected %t, capacity %d of %d; age %v", j.suspect, capacity.Target, capacity.Others,
+		age.Round(time.Millisecond))
+}
+
 // fits reports whether the target may get more of the traffic.
 func (j *Judge) fits(c Capacity) bool {
 	return !j.suspect && c.Target > 0 && float64(c.Target) >= minCapacity*float64(c.Others)
--- a/core/rollout/manager.go
+++ b/core/rollout/manager.go
@@ -80,8 +80,11 @@
 	list        []Listed
 	// alone is true if only replicas of the target are listed.
 	alone bool
-	// followed is true if this VM knew the order before it was final.
-	followed bool
+	// followed is true if this VM knew the order before it was final, arrived if it saw the
+	// order arriving.
+	followed, arrived bool
+	// replaced holds the versions that the completion of the order barred.
+	replaced []ident.Software
 }
 
 // An Event is a change of an order's stage or step on this VM.
@@ -135,8 +138,8 @@
 		}
 		s.ordered, s.order, s.readAt, s.stage, s.step, s.reason = true, o, now, InProgress, Held, ""
 		s.confirmedAt, s.wantedSince, s.evidence, s.judge, s.allowance = 0, now, Evidence{}, nil, 0
-		s.followed = !o.Stored.Final()
-		if m.listed && o.Stored == Pending {
+		s.followed, s.arrived, s.replaced = !o.Stored.Final(), m.listed && o.Stored == Pending, nil
+		if s.arrived {
 			s.allowance = float64(m.Bounds.Allowance) / float64(max(vms, 1)+1)
 		}
 		m.record(now, s, "ordered")
@@ -161,10 +164,13 @@
 	s.stage, s.reason, s.wantedSince, m.changed = stage, reason, now, true
 	if stage == Completed {
 		s.step = Takeover
-		s.versions.Establish(s.order.ID.Target, s.followed)
+		s.replaced = s.versions.Establish(s.order.ID.Target, s.followed)
 	} else {
 		s.step = Held
 		s.versions.Bar(s.order.ID.Target)
+		for _, v := range s.replaced {
+			s.versions.Establish(v, false)
+		}
 	}
 	m.record(now, s, reason)
 }
@@ -185,6 +191,10 @@
 // when Apply must be called again.
 func (m *Manager) Apply(now ident.Instant, id ident.ServiceID, list []Listed) (*Plan, func(ident.Software) bool, ident.Instant) {
 	s := m.service(id)
+	if s.ordered && s.stage == RolledBack {
+		// The bar also holds for replicas that come back, and on a VM that restarted.
+		s.versions.Bar(s.order.ID.Target)
+	}
 	running := s.ordered && !s.stage.Final()
 	target := s.order.ID.Target
 	s.list = list
@@ -204,7 +214,7 @@
 		next = min(next, until)
 	}
 	plan := &Plan{Order: s.order.ID, Step: step, Share: m.Bounds.Share, Allowance: s.allowance}
-	if age := s.stepAt.Sub(s.readAt); step == Most && age > 0 {
+	if age := s.stepAt.Sub(s.readAt); step == Most && s.arrived && age > 0 {
 		plan.Advance = advancePart * float64(m.Bounds.Share) * max(0, float64(s.order.Duration-age)/float64(age))
 	}
 	return plan, withheld, next
@@ -329,7 +339,7 @@
 func (m *Manager) Guide(now ident.Instant, from ident.VMID, answers []Guidance, r Ranking) {
 	for _, g := range answers {
 		s := m.services[g.Service]
-		if s == nil || !s.ordered || s.order.ID != g.Order || s.stage.Final() {
+		if s == nil || !s.ordered || s.order.ID != g.Order || !s.mayBecome(g.Stage) {
 			continue
 		}
 		if g.Stage == Pending {
@@ -342,7 +352,7 @@
 		leading := r.First(g.Service, 1, func(vm ident.VMID) bool { return now < m.failedUntil[vm] })
 		if len(leading) > 0 && leading[0] == from {
 			s.confirmedAt = now
-			if g.Step != s.step && g.Stage == InProgress {
+			if g.Step > s.step && g.Stage == InProgress {
 				s.step, s.stepAt = g.Step, now
 				m.record(now, s, g.Reason)
 			}
@@ -354,6 +364,12 @@
 	}
 }
 
+// mayBecome reports whether the decision of a judge may change the stage. Of two final
+// stages a roll-back holds, until the store holds one.
+func (s *state) mayBecome(next Stage) bool {
+	return !s.stage.Final() || (s.stage == Completed && next == RolledBack && !s.order.Stored.Final())
+}
+
 // Changed reports whether the results of Apply have changed since the last call, but for
 // those that SetOrders changed.
 func (m *Manager) Changed() bool {
--- a/core/rollout/versions.go
+++ b/core/rollout/versions.go
@@ -50,19 +50,22 @@
 	delete(v.established, s)
 }
 
-// Establish establishes a version and bars all others that were established.
-func (v *Versions) Establish(s ident.Software, barOthers bool) {
+// Establish establishes a version. With barOthers set, it bars all others that were
+// established, and returns them.
+func (v *Versions) Establish(s ident.Software, barOthers bool) (barred []ident.Software) {
 	v.init()
 	if barOthers {
 		for other := range v.established {
 			if other != s {
 				v.Bar(other)
+				barred = append(barred, other)
 			}
 		}
 	}
 	delete(v.barred, s)
 	v.established[s] = true
 	v.begun = true
+	return barred
 }
 
 func (v *Versions) init() {
