--- a/serve/gate/conn.go
+++ b/serve/gate/conn.go
@@ -110,8 +110,8 @@
 	}
 	c.request = nil
 	r.detached = l.Detach(c)
-	if r.users--; r.users == 0 {
-		l.Return(r.detached)
+	if r.users.Add(-1) == 0 {
+		r.giveUp(l)
 	}
 }
 
@@ -172,12 +172,12 @@
 // answer to a refused request has one.
 func (c *conn) armWriteLocked() error {
 	if !c.isRefused {
-		return c.Conn.SetWriteDeadline(time.Now().Add(answerTime))
+		return c.SetWriteDeadline(time.Now().Add(answerTime))
 	}
 	if c.writeEnd.IsZero() {
 		c.writeEnd = time.Now().Add(lingerTime)
 	}
-	return c.Conn.SetWriteDeadline(c.writeEnd)
+	return c.SetWriteDeadline(c.writeEnd)
 }
 
 // writePart records that a part of an answer is about to be written, and sets its deadline.
@@ -229,7 +229,8 @@
 // begin is called when the head of a request was read. Length is that of the body, -1 if
 // it is not known. It returns false if the caller was turned away before.
 func (c *conn) begin(length ident.Bytes) (r *Request, ok bool) {
-	r = &Request{conn: c, users: 1, arrived: length == 0}
+	r = &Request{conn: c, arrived: length == 0}
+	r.users.Store(1)
 	c.gate.update(func(ident.Instant, *intake.Ledger[*conn]) { c.request = r })
 	phase, deadline := intake.Running, time.Time{}
 	if length != 0 {
--- a/serve/gate/request.go
+++ b/serve/gate/request.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"carawaycross.example/carawaycross/core/ident"
@@ -31,10 +32,11 @@
 // which has no bounds.
 type Request struct {
 	conn *conn
-	// users counts the connection and the attempts that refer to the request. detached is
-	// the memory that the last user returns, 0 while the connection is a user. The mutex
-	// of the Gate guards both.
-	users    int
+	// users counts the connection and the attempts that refer to the request. It is atomic,
+	// so that attempts begin without waiting for the Gate.
+	users atomic.Int64
+	// detached is the memory that the last user returns, 0 while the connection is a user
+	// and after that. The mutex of the Gate guards it.
 	detached ident.Bytes
 	// arrived is true after the end of the body. Only the handler's goroutine accesses it.
 	arrived bool
@@ -73,20 +75,21 @@
 // Retain keeps the memory of the request reserved until a matching Done.
 func (r *Request) Retain() {
 	if r != nil {
-		r.conn.gate.update(func(ident.Instant, *intake.Ledger[*conn]) { r.users++ })
+		r.users.Add(1)
 	}
 }
 
 // Done ends a use of the request. The last one returns its memory.
 func (r *Request) Done() {
-	if r == nil {
-		return
+	if r != nil && r.users.Add(-1) == 0 {
+		r.conn.gate.update(func(_ ident.Instant, l *intake.Ledger[*conn]) { r.giveUp(l) })
 	}
-	r.conn.gate.update(func(_ ident.Instant, l *intake.Ledger[*conn]) {
-		if r.users--; r.users == 0 {
-			l.Return(r.detached)
-		}
-	})
+}
+
+// giveUp returns the memory after the last use.
+func (r *Request) giveUp(l *intake.Ledger[*conn]) {
+	l.Return(r.detached)
+	r.detached = 0
 }
 
 // end is called when the handler has ended. What is left of the body must arrive soon, or
--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -17,6 +16,7 @@
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/serve/clock"
 	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/gate"
 	"carawaycross.example/carawaycross/serve/mirror"
 	"carawaycross.example/carawaycross/serve/traffic"
 	"carawaycross.example/carawaycross/serve/watch"
@@ -107,11 +107,11 @@
 // called.
 func (v *VM) startDiscovery(ctx context.Context, self roster.Member) error {
 	d, m := v.discovery, v.settings.Message.Discovery
-	front, err := net.Listen("tcp", m.Front)
+	front, err := gate.Listen(context.Background(), m.Front)
 	if err != nil {
 		return &Error{"listen", CannotStart, err}
 	}
-	ready, err := net.Listen("tcp", m.Ready)
+	ready, err := gate.Listen(context.Background(), m.Ready)
 	if err != nil {
 		_ = front.Close()
 		return &Error{"listen", CannotStart, err}
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -201,13 +201,13 @@
 func (v *VM) listen() error {
 	m := v.settings.Message.Vm
 	var err error
-	if v.callerListener, err = net.Listen("tcp", m.Listen); err != nil {
+	if v.callerListener, err = gate.Listen(context.Background(), m.Listen); err != nil {
 		return &Error{"listen", CannotStart, err}
 	}
 	if m.Operators == "" {
 		return nil
 	}
-	if v.operatorListener, err = net.Listen("tcp", m.Operators); err != nil {
+	if v.operatorListener, err = gate.Listen(context.Background(), m.Operators); err != nil {
 		return errors.Join(&Error{"listen", CannotStart, err}, v.callerListener.Close())
 	}
 	return nil
