--- a/proof/crowd/serve_test.go
+++ b/proof/crowd/serve_test.go
@@ -52,10 +52,11 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	command := exec.Command(binary, "serve", "--settings", path)
+	command := exec.Command(program, "serve", "--settings", path)
 	// These settings do not name the machine's memory.
 	command.Env = append(os.Environ(), fmt.Sprintf("GOMEMLIMIT=%dMiB", memoryMB*3/4))
 	p = newTarget(t, command)
+	p.listenOn(address)
 	p.await("ready", func() bool { return p.get(address, "/readyz", "") == http.StatusOK })
 	return p, address
 }
