usage: count unlisted VMs, check the clock first, admit whole bursts

Cause: a restarted VM ended the wait for loans of its earlier process once the listed VMs were informed, and at once with none listed. A VM that counts more VMs kept tokens beyond its smaller share. After a suspension, the first batch of requests used earlier tokens. Of 150 requests at once on one VM, with a burst of 200, 61 were refused, since 64 could wait.

Change: the wait ends early only if all counted VMs are informed, and is longer once a higher count makes the lease longer. Tokens are trimmed when the count rises. The clock is checked before a batch. The burst may wait.

The property observes what a share accrues instead of computing it.

--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -37,7 +37,8 @@
 	// countTime is how long VMs that left the list are still counted, since the others
 	// notice it at different times.
 	countTime = 30 * time.Second
-	// maxWaiting is the most requests of a tenant that wait for tokens on one VM.
+	// maxWaiting is the most requests of a tenant that wait for tokens on one VM, unless its
+	// burst is larger.
 	maxWaiting = 64
 	// unreachableWait is the Retry-After of a request that no grantor answered.
 	unreachableWait = 300 * time.Millisecond
@@ -187,8 +188,9 @@
 func (l *Ledger) Install(now ident.Instant, tenants []tenant.Tenant, peers []Peer, vms int, bounds Bounds) {
 	l.setPeers(now, peers)
 	l.setCount(now, max(vms, len(peers)+1))
-	if !l.config.FirstStart && !l.installed {
-		l.withheldUntil = l.config.Started.Add(l.lease)
+	if !l.config.FirstStart && l.discardedAt == 0 && (!l.installed || now < l.withheldUntil) {
+		// The lease is longer once more VMs are counted.
+		l.withheldUntil = max(l.withheldUntil, l.config.Started.Add(l.lease))
 	}
 	unused := l.installed || l.config.FirstStart
 	l.installed, l.queued = true, true
@@ -241,17 +243,20 @@
 }
 
 // endWithholding lets the shares accrue tokens once no VM holds a loan of an earlier
-// process.
+// process. VMs that are counted but not listed may hold one.
 func (l *Ledger) endWithholding(now ident.Instant) {
 	if now >= l.withheldUntil || l.discardedAt > 0 {
 		return
 	}
+	informed := 0
 	for _, p := range l.peers {
-		if !p.informed {
-			return
+		if p.informed {
+			informed++
 		}
 	}
-	l.withheldUntil = now
+	if informed >= l.count-1 {
+		l.withheldUntil = now
+	}
 }
 
 // account returns the account of a tenant; nil if the tenant has no cap.
@@ -319,6 +324,9 @@
 	if vms > l.count || (vms < l.count && now >= l.fallsAt) {
 		for _, a := range l.accounts {
 			l.accrue(now, a)
+			if share := a.capacity / ident.Tokens(vms); vms > l.count && now >= a.lentUntil {
+				a.tokens = min(a.tokens, share)
+			}
 		}
 		l.count = vms
 	}
@@ -354,7 +362,7 @@
 		}
 		return Admitted, Refusal{}
 	}
-	if now < a.dryUntil || len(a.waiting) >= maxWaiting {
+	if now < a.dryUntil || len(a.waiting) >= max(maxWaiting, int(a.capacity)) {
 		return Refused, l.refusal(now, a)
 	}
 	a.waiting = append(a.waiting, waitingRequest{query, now.Add(holdTime)})
--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -105,6 +105,42 @@
 	}
 }
 
+// A tenant sends its burst at once on one VM.
+func TestBurstOnOneVMIsAdmitted(t *testing.T) {
+	w := newWorld(1, 8, tenant.Tenant{ID: "courts", Rate: 20, Burst: 200})
+	w.advance(20*time.Second, 1, 1)
+	for range 150 {
+		w.arrive(0)
+	}
+	if w.advance(time.Second, 0, 0); w.vms[0].refused > 0 {
+		t.Errorf("%d of 150 requests were refused", w.vms[0].refused)
+	}
+}
+
+// A VM restarts and reads a list that lacks the VMs to which its earlier process lent.
+func TestRestartedVMWaitsForVMsThatAreNotListed(t *testing.T) {
+	limits := []tenant.Tenant{{ID: "courts", Rate: 10, Burst: 40}}
+	l := New(Config{VM: "vm-0", Incarnation: ident.Incarnation(start), Started: start})
+	l.Install(start, limits, nil, 2, Bounds{})
+	a := l.accounts["courts"]
+	if l.accrue(start.Add(leaseTime), a); a.tokens != 0 {
+		t.Errorf("the VM has %v tokens before the end of the lease", a.tokens)
+	}
+	l.Install(start.Add(leaseTime/2), limits, nil, 2*leaseVMs, Bounds{})
+	if expected := start.Add(2 * leaseTime); l.withheldUntil != expected {
+		t.Errorf("the share is withheld until %v, expected %v", l.withheldUntil, expected)
+	}
+}
+
+func TestTokensBeyondTheShareAreDroppedWhenVMsAreAdded(t *testing.T) {
+	limits := []tenant.Tenant{{ID: "courts", Rate: 10, Burst: 40}}
+	l := New(Config{VM: "vm-0", Started: start, FirstStart: true})
+	l.Install(start, limits, nil, 1, Bounds{})
+	if l.Install(start, limits, nil, 4, Bounds{}); l.accounts["courts"].tokens != 10 {
+		t.Errorf("the VM has %v tokens, expected its share of 10", l.accounts["courts"].tokens)
+	}
+}
+
 // The demand of a tenant lies on k of 32 VMs.
 func TestTenantGetsItsCapOnAnyNumberOfVMs(t *testing.T) {
 	for _, rate := range []ident.Rate{4, 40, 200} {
--- a/core/usage/world_test.go
+++ b/core/usage/world_test.go
@@ -16,6 +16,8 @@
 	// exchangeTimeout is the time after which a question without an answer has failed.
 	exchangeTimeout = 150 * time.Millisecond
 	listInterval    = 10 * time.Second
+	// probe is the time for which the rate of a share is observed.
+	probe = time.Nanosecond
 )
 
 // A testVM is one VM of a world. A frozen VM does nothing until thawsAt.
@@ -154,9 +156,11 @@
 	var sum ident.Rate
 	for _, vm := range w.vms {
 		a := vm.ledger.accounts[w.cap.ID]
-		if w.now >= a.lentUntil && w.now >= vm.ledger.withheldUntil {
-			sum += a.rate / ident.Rate(vm.ledger.count)
-		}
+		next := *a
+		vm.ledger.accrue(w.now, &next)
+		next.tokens = 0
+		vm.ledger.accrue(w.now.Add(probe), &next)
+		sum += ident.Rate(float64(next.tokens) / probe.Seconds())
 		if a.pool == nil {
 			continue
 		}
--- a/serve/codec/codec_test.go
+++ b/serve/codec/codec_test.go
@@ -1,12 +1,14 @@
 package codec_test
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
 	"carawaycross.example/carawaycross/core/catalogue"
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/route"
+	"carawaycross.example/carawaycross/core/usage"
 	"carawaycross.example/carawaycross/serve/codec"
 	"carawaycross.example/carawaycross/serve/mirror"
 )
@@ -44,3 +46,16 @@
 		_, _ = mirror.UnmarshalAnswer(b)
 	})
 }
+
+func TestMessagesAboutUsageCapsAreDecodedAsTheyWere(t *testing.T) {
+	m := usage.Message{
+		Incarnation: 1 << 60, Restarted: true, Collects: []ident.TenantID{"courts"},
+		Asks:    []usage.Ask{{Tenant: "courts", Need: 2, Spare: 3, Held: 1.5}},
+		Returns: []usage.Return{{Tenant: "courts", Number: 1 << 61, Tokens: 2.5}},
+		Grants:  []usage.Grant{{Tenant: "courts", Tokens: 4, Wait: 30 * time.Millisecond, Collecting: true}},
+		Loans:   []usage.Loan{{Tenant: "courts", Number: 1 << 62, Rate: 5, Capacity: 20, Held: 1.25, Tokens: 6.5, Lease: time.Second}},
+	}
+	if got := codec.Usage(codec.UsageMessage(&m)); !reflect.DeepEqual(got, m) {
+		t.Errorf("decoded is %+v, expected %+v", got, m)
+	}
+}
--- a/serve/traffic/loop.go
+++ b/serve/traffic/loop.go
@@ -322,6 +322,7 @@
 
 func (l *Loop) handleBatch(e event) {
 	l.installView()
+	l.checkClock()
 	l.handle(e)
 	for range batchSize {
 		select {
