--- a/core/replica/recovery.go
+++ b/core/replica/recovery.go
@@ -59,11 +59,9 @@
 	return max(int(s.pace.Total()/float64(max(s.Shares.VMs, 1))), 1)
 }
 
-// CanSend reports whether one more attempt at any replica of the versions is within the
-// limits.
-func (s *Shard) CanSend(now ident.Instant, versions Versions) bool {
-	in := Selection{Now: now, Shard: s, Versions: versions}
-	for _, r := range s.Replicas {
+// CanSend reports whether one more attempt at any replica is eligible.
+func (in *Selection) CanSend() bool {
+	for _, r := range in.Shard.Replicas {
 		if in.Eligible(r) {
 			return true
 		}
@@ -76,17 +74,17 @@
 	if !r.paced(in.Now) {
 		return true
 	}
-	return r.pace.Allows(in.Now, r.paceShare(), r.InFlight, in.MedianLatency, !in.hasUnpaced())
+	return r.pace.Allows(in.Now, r.paceShare(), r.InFlight, in.MedianLatency, in.alone(r))
 }
 
-// hasUnpaced reports whether a replica without a pace can take the attempt.
-func (in *Selection) hasUnpaced() bool {
-	for _, r := range in.Shard.Replicas {
-		if in.Versions.include(r) && r.Usable(in.Now) && !r.paced(in.Now) && r.InFlight < r.Limit(in.Now) && in.Holds(r) && !in.tried(r) && !in.reserved(r) {
-			return true
+// alone reports whether no other replica, reserves included, is sound.
+func (in *Selection) alone(r *State) bool {
+	for _, o := range in.Shard.Replicas {
+		if o != r && in.Versions.include(o) && in.sound(o) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // observePace passes the result of an attempt to the pace. The good reply that ends a pace
