usage: ask a grantor that lacks a tenant again

Cause: a grantor that had not read a new tenant yet was suspected, for all tenants. Change: a VM that grants no tokens says so, and only then is another one asked; one that lacks the tenant is asked again after 50 ms. Result: TestGrantorThatLacksATenantIsAskedAgain fails without the change; core/usage twice, core/node, serve/codec and serve/traffic pass.

--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -155,12 +155,19 @@
 			l.endLoan(now, a, from, r)
 		}
 	}
-	return Message{Incarnation: l.config.Incarnation, Grants: l.grants(now, from, m.Asks), Loans: l.loans(now, from, m.Collects)}
+	return Message{
+		Incarnation: l.config.Incarnation, NoGrantor: len(m.Asks) > 0 && !l.grantsTokens(now),
+		Grants: l.grants(now, from, m.Asks), Loans: l.loans(now, from, m.Collects),
+	}
+}
+
+func (l *Ledger) grantsTokens(now ident.Instant) bool {
+	return !l.leaving && l.settled(now, l.config.VM)
 }
 
 // grants answers asks; none if this VM is no grantor.
 func (l *Ledger) grants(now ident.Instant, from ident.VMID, asks []Ask) []Grant {
-	if l.leaving || !l.settled(now, l.config.VM) {
+	if !l.grantsTokens(now) {
 		return nil
 	}
 	var out []Grant
@@ -226,14 +233,18 @@
 	if ok {
 		l.apply(now, &e, &answer)
 	}
+	if p != nil && ok && answer.NoGrantor {
+		l.suspect(now, p)
+	}
 	for _, ask := range e.Message.Asks {
 		granted := slices.ContainsFunc(answer.Grants, func(g Grant) bool { return g.Tenant == ask.Tenant })
-		if p != nil && ok && !granted {
-			// The grantor does not know the tenant yet, or is stopping.
-			l.suspect(now, p)
+		at := now
+		if ok && !granted && !answer.NoGrantor {
+			// The grantor does not know the tenant yet.
+			at = now.Add(unknownTenantWait)
 		}
 		if a := l.accounts[ask.Tenant]; a != nil && len(a.waiting) > 0 && !a.asking && a.askAt == ident.Never {
-			l.askLater(a, now)
+			l.askLater(a, at)
 		}
 	}
 }
--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -42,6 +42,9 @@
 	maxWaiting = 64
 	// unreachableWait is the Retry-After of a request that no grantor answered.
 	unreachableWait = 300 * time.Millisecond
+	// unknownTenantWait is the time after which to ask a grantor again that does not know a
+	// tenant yet.
+	unknownTenantWait = 50 * time.Millisecond
 	// Once the grantor has answered, a request waits for at most shortWait.
 	shortWait = 30 * time.Millisecond
 )
--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -141,6 +141,29 @@
 	}
 }
 
+// A configuration with a new tenant reaches the grantor late.
+func TestGrantorThatLacksATenantIsAskedAgain(t *testing.T) {
+	incarnation := ident.Incarnation(start)
+	for _, stopping := range []bool{false, true} {
+		owner, _ := pair(tenant.Tenant{ID: "courts", Rate: 10, Burst: 40}, start)
+		grantor := New(Config{VM: "vm-1", Incarnation: incarnation, Started: start})
+		grantor.Install(start, nil, []Peer{{VM: "vm-0", Started: start}}, 2, Bounds{})
+		if stopping {
+			grantor.Leave(start)
+		}
+		a := owner.accounts["courts"]
+		a.waiting = []waitingRequest{{1, start.Add(holdTime)}}
+		e := Exchange{To: "vm-1", Sent: start, Message: Message{Incarnation: incarnation, Asks: []Ask{{Tenant: "courts", Need: 1}}}}
+		owner.Complete(start, e, grantor.Receive(start, "vm-0", e.Message), true)
+		if suspected := owner.peers["vm-1"].suspectedUntil > start; suspected != stopping {
+			t.Errorf("stopping is %v: suspected is %v", stopping, suspected)
+		}
+		if again := a.askAt > start && a.askAt < start.Add(holdTime); again == stopping {
+			t.Errorf("stopping is %v: asked again at %v", stopping, a.askAt)
+		}
+	}
+}
+
 // The demand of a tenant lies on k of 32 VMs.
 func TestTenantGetsItsCapOnAnyNumberOfVMs(t *testing.T) {
 	for _, rate := range []ident.Rate{4, 40, 200} {
--- a/core/usage/message.go
+++ b/core/usage/message.go
@@ -14,6 +14,9 @@
 	// Restarted is true if an earlier process of the sender may have lent its shares to
 	// the receiver. The receiver drops them.
 	Restarted bool
+	// NoGrantor is true in the answer of a VM that grants no tokens, since it is stopping
+	// or has just started.
+	NoGrantor bool
 	Asks      []Ask
 	// Collects holds the tenants whose shares the sender wants to borrow.
 	Collects []ident.TenantID
--- a/serve/codec/codec_test.go
+++ b/serve/codec/codec_test.go
@@ -49,7 +49,7 @@
 
 func TestMessagesAboutUsageCapsAreDecodedAsTheyWere(t *testing.T) {
 	m := usage.Message{
-		Incarnation: 1 << 60, Restarted: true, Collects: []ident.TenantID{"courts"},
+		Incarnation: 1 << 60, Restarted: true, NoGrantor: true, Collects: []ident.TenantID{"courts"},
 		Asks:    []usage.Ask{{Tenant: "courts", Need: 2, Spare: 3, Held: 1.5}},
 		Returns: []usage.Return{{Tenant: "courts", Number: 1 << 61, Tokens: 2.5}},
 		Grants:  []usage.Grant{{Tenant: "courts", Tokens: 4, Wait: 30 * time.Millisecond, Collecting: true}},
--- a/serve/codec/usage.go
+++ b/serve/codec/usage.go
@@ -10,7 +10,7 @@
 
 // UsageMessage encodes a message about usage caps.
 func UsageMessage(m *usage.Message) *schema.UsageReport {
-	out := &schema.UsageReport{Incarnation: uint64(m.Incarnation), Restarted: m.Restarted}
+	out := &schema.UsageReport{Incarnation: uint64(m.Incarnation), Restarted: m.Restarted, NoGrantor: m.NoGrantor}
 	for _, a := range m.Asks {
 		out.Asks = append(out.Asks, &schema.UsageAsk{
 			Tenant: string(a.Tenant), Need: uint32(max(a.Need, 0)), Spare: uint32(max(a.Spare, 0)), Held: float32(a.Held),
@@ -38,7 +38,7 @@
 
 // Usage decodes a message about usage caps.
 func Usage(in *schema.UsageReport) usage.Message {
-	m := usage.Message{Incarnation: ident.Incarnation(in.GetIncarnation()), Restarted: in.GetRestarted()}
+	m := usage.Message{Incarnation: ident.Incarnation(in.GetIncarnation()), Restarted: in.GetRestarted(), NoGrantor: in.GetNoGrantor()}
 	for _, a := range in.GetAsks() {
 		m.Asks = append(m.Asks, usage.Ask{
 			Tenant: ident.TenantID(a.Tenant), Need: int(a.Need), Spare: int(a.Spare), Held: ident.Tokens(a.Held),
