usage: vary lists, counts and caps in the property, tests of single mechanisms

Cause: the property found almost no removed mechanism. Change: its VMs read lists that lack VMs, count too many VMs and get lowered caps, which bind one window later. Refunds are drawn for each phase. What it finds too seldom has a test of its own.

--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -21,12 +21,11 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, limit)
 		w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.3}).Draw(t, "loss")
 		w.slowest = rapid.SampledFrom([]time.Duration{3, 20, 120}).Draw(t, "slowest ms") * time.Millisecond
-		w.refunds = rapid.SampledFrom([]float64{0, 0, 0.3, 0.95}).Draw(t, "refunds")
 		w.cancels = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "cancels")
 		for range rapid.IntRange(3, 14).Draw(t, "phases") {
 			for range rapid.IntRange(0, 3).Draw(t, "faults") {
 				vm := rapid.IntRange(0, n-1).Draw(t, "vm")
-				switch rapid.SampledFrom([]string{"cut", "heal", "restart", "freeze", "herd", "leave"}).Draw(t, "fault") {
+				switch rapid.SampledFrom([]string{"cut", "heal", "restart", "freeze", "herd", "leave", "hide", "count", "lower"}).Draw(t, "fault") {
 				case "cut":
 					w.vms[vm].side = rapid.IntRange(0, 2).Draw(t, "side")
 				case "heal":
@@ -39,21 +38,30 @@
 					w.vms[vm].ledger.Leave(w.now)
 				case "freeze":
 					w.vms[vm].thawsAt = w.now.Add(time.Duration(rapid.IntRange(10, 6000).Draw(t, "ms")) * time.Millisecond)
+				case "hide":
+					w.vms[vm].hidden = w.vms[rapid.IntRange(0, n-1).Draw(t, "hidden")].id
+					w.install(vm, n)
+				case "count":
+					w.vms[vm].extra = rapid.IntRange(0, 3).Draw(t, "extra")
+					w.install(vm, n)
+				case "lower":
+					if err := w.check(); err != nil {
+						t.Fatal(err)
+					}
+					w.lower()
 				case "herd":
 					for i := range n / 2 {
 						w.start(i, false)
 					}
 				}
 			}
+			w.refunds = rapid.SampledFrom([]float64{0, 0, 0, 0.3, 1}).Draw(t, "refunds")
 			flood := rapid.SampledFrom([]float64{0, 0, 1, 3, 200}).Draw(t, "requests a second")
 			senders := rapid.IntRange(1, n).Draw(t, "senders")
 			w.advance(time.Duration(rapid.IntRange(20, 4000).Draw(t, "ms"))*time.Millisecond, senders, flood)
 		}
-		if rate, _ := w.bounds.enforced(&limit); w.mostRate > rate*(1+1e-9) {
-			t.Fatalf("the shares and pools accrue %v/s, allowed are %v/s", w.mostRate, rate)
-		}
-		if got, allowed := w.mostInWindow(), w.allowed(); got > allowed {
-			t.Fatalf("%d requests in one window, allowed are %d", got, allowed)
+		if err := w.check(); err != nil {
+			t.Fatal(err)
 		}
 	})
 }
@@ -408,3 +416,25 @@
 		t.Errorf("the pool has %v tokens, expected 11 beside the 9 that the lender has", p.tokens)
 	}
 }
+
+func TestLoweredCapLimitsTokensAtOnce(t *testing.T) {
+	l := New(Config{VM: "vm-0", Started: start, FirstStart: true})
+	l.Install(start, []tenant.Tenant{{ID: "courts", Rate: 10, Burst: 40}}, nil, 1, Bounds{})
+	l.Install(start, []tenant.Tenant{{ID: "courts", Rate: 5, Burst: 10}}, nil, 1, Bounds{})
+	if got := l.accounts["courts"].tokens; got != 10 {
+		t.Errorf("the VM has %v tokens, expected 10", got)
+	}
+}
+
+// VMs notice at different times that a VM left.
+func TestVMsThatLeftAreCountedForAWhile(t *testing.T) {
+	l := New(Config{VM: "vm-0", Started: start, FirstStart: true})
+	for _, c := range []struct {
+		after         time.Duration
+		vms, expected int
+	}{{0, 4, 4}, {time.Second, 3, 4}, {countTime, 3, 4}, {time.Second + countTime, 3, 3}} {
+		if l.Install(start.Add(c.after), nil, nil, c.vms, Bounds{}); l.count != c.expected {
+			t.Errorf("after %v, %d VMs are counted, expected %d", c.after, l.count, c.expected)
+		}
+	}
+}
--- a/core/usage/world_test.go
+++ b/core/usage/world_test.go
@@ -29,7 +29,11 @@
 	// listAt is when the VM next reads the list of VMs.
 	listAt ident.Instant
 	// side numbers the part of the network that the VM reaches.
-	side     int
+	side int
+	// The VM's list lacks the VM hidden until it reads the list again, and counts extra VMs
+	// too many.
+	hidden   ident.VMID
+	extra    int
 	admitted int
 	refused  int
 	// waits is false for the requests that were cancelled.
@@ -65,10 +69,12 @@
 	returns          []refund
 	// The rate that all processes accrue together was once mostRate.
 	mostRate ident.Rate
-	queries  ident.QueryID
-	times    []ident.Instant
-	offered  int
-	messages int
+	// What happened before boundFrom is not checked, since the cap was higher.
+	boundFrom ident.Instant
+	queries   ident.QueryID
+	times     []ident.Instant
+	offered   int
+	messages  int
 }
 
 // A refund gives back the token of a request that was taken at taken.
@@ -104,11 +110,31 @@
 func (w *world) install(i, n int) {
 	var peers []Peer
 	for j, other := range w.vms[:n] {
-		if j != i {
+		if j != i && other.id != w.vms[i].hidden {
 			peers = append(peers, Peer{VM: other.id, Started: other.started})
 		}
 	}
-	w.vms[i].ledger.Install(w.now, []tenant.Tenant{w.cap}, peers, n, w.bounds)
+	w.vms[i].ledger.Install(w.now, []tenant.Tenant{w.cap}, peers, n+w.vms[i].extra, w.bounds)
+}
+
+// lower halves the cap. It is in force on all VMs at once, and holds one window later.
+func (w *world) lower() {
+	w.cap.Rate, w.cap.Burst, w.boundFrom = w.cap.Rate/2, w.cap.Burst/2, w.now.Add(w.bounds.Window)
+	for i := range w.vms {
+		w.install(i, len(w.vms))
+	}
+	w.mostRate = 0
+}
+
+// check returns an error if the VMs accrued or admitted more than the cap allows.
+func (w *world) check() error {
+	if rate, _ := w.bounds.enforced(&w.cap); w.mostRate > rate*(1+1e-9) {
+		return fmt.Errorf("the shares and pools accrue %v/s, allowed are %v/s", w.mostRate, rate)
+	}
+	if got, allowed := w.mostInWindow(), w.allowed(); got > allowed {
+		return fmt.Errorf("%d requests in one window, allowed are %d", got, allowed)
+	}
+	return nil
 }
 
 func (w *world) arrive(i int) {
@@ -192,7 +218,7 @@
 				w.arrive(i)
 			}
 			if w.now >= vm.listAt {
-				vm.listAt = w.now.Add(listInterval)
+				vm.listAt, vm.hidden = w.now.Add(listInterval), ""
 				w.install(i, len(w.vms))
 			}
 			vm.ledger.Tick(w.now)
@@ -213,7 +239,9 @@
 				w.transfers = append(w.transfers, transfer{at: w.delay(), from: i, process: vm.ledger, exchange: e})
 			}
 		}
-		w.mostRate = max(w.mostRate, w.accruing())
+		if w.now >= w.boundFrom {
+			w.mostRate = max(w.mostRate, w.accruing())
+		}
 	}
 }
 
@@ -280,6 +308,12 @@
 func (w *world) mostInWindow() int {
 	most, first := 0, 0
 	for i, at := range w.times {
+		for w.times[first] < w.boundFrom && first < i {
+			first++
+		}
+		if at < w.boundFrom {
+			continue
+		}
 		for at.Sub(w.times[first]) > w.bounds.Window {
 			first++
 		}
