--- a/core/usage/ledger_test.go
+++ b/core/usage/ledger_test.go
@@ -21,12 +21,11 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, limit)
 		w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.3}).Draw(t, "loss")
 		w.slowest = rapid.SampledFrom([]time.Duration{3, 20, 120}).Draw(t, "slowest ms") * time.Millisecond
-		w.refunds = rapid.SampledFrom([]float64{0, 0, 0.3, 0.95}).Draw(t, "refunds")
 		w.cancels = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "cancels")
 		for range rapid.IntRange(3, 14).Draw(t, "phases") {
 			for range rapid.IntRange(0, 3).Draw(t, "faults") {
 				vm := rapid.IntRange(0, n-1).Draw(t, "vm")
-				switch rapid.SampledFrom([]string{"cut", "heal", "restart", "freeze", "herd", "leave"}).Draw(t, "fault") {
+				switch rapid.SampledFrom([]string{"cut", "heal", "restart", "freeze", "herd", "leave", "hide", "count", "lower"}).Draw(t, "fault") {
 				case "cut":
 					w.vms[vm].side = rapid.IntRange(0, 2).Draw(t, "side")
 				case "heal":
@@ -39,21 +38,30 @@
 					w.vms[vm].ledger.Leave(w.now)
 				case "freeze":
 					w.vms[vm].thawsAt = w.now.Add(time.Duration(rapid.IntRange(10, 6000).Draw(t, "ms")) * time.Millisecond)
+				case "hide":
+					w.vms[vm].hidden = w.vms[rapid.IntRange(0, n-1).Draw(t, "hidden")].id
+					w.install(vm, n)
+				case "count":
+					w.vms[vm].extra = rapid.IntRange(0, 3).Draw(t, "extra")
+					w.install(vm, n)
+				case "lower":
+					if err := w.check(); err != nil {
+						t.Fatal(err)
+					}
+					w.lower()
 				case "herd":
 					for i := range n / 2 {
 						w.start(i, false)
 					}
 				}
 			}
+			w.refunds = rapid.SampledFrom([]float64{0, 0, 0, 0.3, 1}).Draw(t, "refunds")
 			flood := rapid.SampledFrom([]float64{0, 0, 1, 3, 200}).Draw(t, "requests a second")
 			senders := rapid.IntRange(1, n).Draw(t, "senders")
 			w.advance(time.Duration(rapid.IntRange(20, 4000).Draw(t, "ms"))*time.Millisecond, senders, flood)
 		}
-		if rate, _ := w.bounds.enforced(&limit); w.mostRate > rate*(1+1e-9) {
-			t.Fatalf("the shares and pools accrue %v/s, allowed are %v/s", w.mostRate, rate)
-		}
-		if got, allowed := w.mostInWindow(), w.allowed(); got > allowed {
-			t.Fatalf("%d requests in one window, allowed are %d", got, allowed)
+		if err := w.check(); err != nil {
+			t.Fatal(err)
 		}
 	})
 }
@@ -105,6 +113,65 @@
 	}
 }
 
+// A tenant sends its burst at once on one VM.
+func TestBurstOnOneVMIsAdmitted(t *testing.T) {
+	w := newWorld(1, 8, tenant.Tenant{ID: "courts", Rate: 20, Burst: 200})
+	w.advance(20*time.Second, 1, 1)
+	for range 150 {
+		w.arrive(0)
+	}
+	if w.advance(time.Second, 0, 0); w.vms[0].refused > 0 {
+		t.Errorf("%d of 150 requests were refused", w.vms[0].refused)
+	}
+}
+
+// A VM restarts and reads a list that lacks the VMs to which its earlier process lent.
+func TestRestartedVMWaitsForVMsThatAreNotListed(t *testing.T) {
+	limits := []tenant.Tenant{{ID: "courts", Rate: 10, Burst: 40}}
+	l := New(Config{VM: "vm-0", Incarnation: ident.Incarnation(start), Started: start})
+	l.Install(start, limits, nil, 2, Bounds{})
+	a := l.accounts["courts"]
+	if l.accrue(start.Add(leaseTime), a); a.tokens != 0 {
+		t.Errorf("the VM has %v tokens before the end of the lease", a.tokens)
+	}
+	l.Install(start.Add(leaseTime/2), limits, nil, 2*leaseVMs, Bounds{})
+	if expected := start.Add(2 * leaseTime); l.withheldUntil != expected {
+		t.Errorf("the share is withheld until %v, expected %v", l.withheldUntil, expected)
+	}
+}
+
+func TestTokensBeyondTheShareAreDroppedWhenVMsAreAdded(t *testing.T) {
+	limits := []tenant.Tenant{{ID: "courts", Rate: 10, Burst: 40}}
+	l := New(Config{VM: "vm-0", Started: start, FirstStart: true})
+	l.Install(start, limits, nil, 1, Bounds{})
+	if l.Install(start, limits, nil, 4, Bounds{}); l.accounts["courts"].tokens != 10 {
+		t.Errorf("the VM has %v tokens, expected its share of 10", l.accounts["courts"].tokens)
+	}
+}
+
+// A configuration with a new tenant reaches the grantor late.
+func TestGrantorThatLacksATenantIsAskedAgain(t *testing.T) {
+	incarnation := ident.Incarnation(start)
+	for _, stopping := range []bool{false, true} {
+		owner, _ := pair(tenant.Tenant{ID: "courts", Rate: 10, Burst: 40}, start)
+		grantor := New(Config{VM: "vm-1", Incarnation: incarnation, Started: start})
+		grantor.Install(start, nil, []Peer{{VM: "vm-0", Started: start}}, 2, Bounds{})
+		if stopping {
+			grantor.Leave(start)
+		}
+		a := owner.accounts["courts"]
+		a.waiting = []waitingRequest{{1, start.Add(holdTime)}}
+		e := Exchange{To: "vm-1", Sent: start, Message: Message{Incarnation: incarnation, Asks: []Ask{{Tenant: "courts", Need: 1}}}}
+		owner.Complete(start, e, grantor.Receive(start, "vm-0", e.Message), true)
+		if suspected := owner.peers["vm-1"].suspectedUntil > start; suspected != stopping {
+			t.Errorf("stopping is %v: suspected is %v", stopping, suspected)
+		}
+		if again := a.askAt > start && a.askAt < start.Add(holdTime); again == stopping {
+			t.Errorf("stopping is %v: asked again at %v", stopping, a.askAt)
+		}
+	}
+}
+
 // The demand of a tenant lies on k of 32 VMs.
 func TestTenantGetsItsCapOnAnyNumberOfVMs(t *testing.T) {
 	for _, rate := range []ident.Rate{4, 40, 200} {
@@ -349,3 +416,25 @@
 		t.Errorf("the pool has %v tokens, expected 11 beside the 9 that the lender has", p.tokens)
 	}
 }
+
+func TestLoweredCapLimitsTokensAtOnce(t *testing.T) {
+	l := New(Config{VM: "vm-0", Started: start, FirstStart: true})
+	l.Install(start, []tenant.Tenant{{ID: "courts", Rate: 10, Burst: 40}}, nil, 1, Bounds{})
+	l.Install(start, []tenant.Tenant{{ID: "courts", Rate: 5, Burst: 10}}, nil, 1, Bounds{})
+	if got := l.accounts["courts"].tokens; got != 10 {
+		t.Errorf("the VM has %v tokens, expected 10", got)
+	}
+}
+
+// VMs notice at different times that a VM left.
+func TestVMsThatLeftAreCountedForAWhile(t *testing.T) {
+	l := New(Config{VM: "vm-0", Started: start, FirstStart: true})
+	for _, c := range []struct {
+		after         time.Duration
+		vms, expected int
+	}{{0, 4, 4}, {time.Second, 3, 4}, {countTime, 3, 4}, {time.Second + countTime, 3, 3}} {
+		if l.Install(start.Add(c.after), nil, nil, c.vms, Bounds{}); l.count != c.expected {
+			t.Errorf("after %v, %d VMs are counted, expected %d", c.after, l.count, c.expected)
+		}
+	}
+}
