--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
 	"time"
 
 	"carawaycross.example/carawaycross/core/ident"
@@ -221,21 +219,6 @@
 	return now.Sub(r.pathLostAt) >= patience && now.Sub(r.storeCalledAt) >= interval
 }
 
-// askListing asks a mirror for all objects. It rejects the answer of a mirror that is
-// behind this VM: its objects include some that were removed since.
-func (r *Reader[T]) askListing(ctx context.Context, m Member, q Question) (platform.Listing[T], []ident.VMID, askResult) {
-	a, result := r.ask(ctx, m, q)
-	if result != accepted {
-		return platform.Listing[T]{}, nil, result
-	}
-	if a.Version < r.cache.Version() {
-		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
-		return platform.Listing[T]{}, nil, behind
-	}
-	present := slices.DeleteFunc(a.Changes, func(c platform.Change[T]) bool { return c.Deleted })
-	return platform.Listing[T]{Items: present, Version: a.Version}, a.Path, accepted
-}
-
 // Changes waits for changes after a version. It returns none if there are none within
 // wait.
 func (r *Reader[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) (changes []platform.Change[T], version platform.StoreVersion, err error) {
@@ -322,127 +305,6 @@
 	return changes, version, nil
 }
 
-// relay returns the VM through which this VM last read without being its mirror, or "".
-func (r *Reader[T]) relay() ident.VMID {
-	if len(r.lastDetour.Path) == 0 {
-		return ""
-	}
-	return r.lastDetour.Path[0]
-}
-
-// askOthers asks VMs that are not mirrors of this one.
-func (r *Reader[T]) askOthers(ctx context.Context, after platform.StoreVersion, wait time.Duration) (Answer[T], bool) {
-	for _, m := range r.selector.Others(r.time(), r.relay()) {
-		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait), Disconnected: true})
-		if result != accepted {
-			continue
-		}
-		if a.Outcome == OK {
-			r.cache.ApplyWhileDisconnected(a.Changes, a.Version, a.Path...)
-		}
-		return a, true
-	}
-	return Answer[T]{}, false
-}
-
-// noPath returns the error of a read for which neither another VM nor the store was of use.
-func noPath() error { return &platform.Error{Op: "mirror", Kind: platform.Unreachable, Err: errNoPath} }
-
-// compacted returns the error after which the caller lists all objects again.
-func compacted() error {
-	return &platform.Error{Op: "mirror", Kind: platform.Compacted, Err: errHistoryDropped}
-}
-
-var (
-	errHistoryDropped = errors.New("the mirror dropped the history asked for")
-	errNoPath         = errors.New("no VM has a path to the store")
-)
-
-// storeAnswered reports whether a call failed although the store serves this VM: the
-// store has changes that the call could not return. The answer of another VM, which may be
-// in the same state, must not replace such an error.
-func storeAnswered(err error) bool {
-	var dropped *platform.Error
-	var ended *watch.Error
-	return errors.As(err, &dropped) && dropped.Kind == platform.Compacted ||
-		errors.As(err, &ended) && ended.Kind == watch.Behind
-}
-
-// isSilent reports whether a call failed because the store did not respond.
-func isSilent(err error) bool {
-	var w *watch.Error
-	return errors.As(err, &w) && w.Kind == watch.Silent
-}
-
-// An askResult is how a question to another VM ended.
-type askResult uint8
-
-const (
-	// silent means that the VM did not respond.
-	silent askResult = iota
-	// rejected means that the VM is disconnected, or that its path must not be used.
-	rejected
-	// behind means that the VM holds an older version than this one.
-	behind
-	accepted
-)
-
-// ask sends a question to a mirror. If the mirror fails or is disconnected, ask excludes
-// it for some time.
-func (r *Reader[T]) ask(ctx context.Context, m Member, q Question) (Answer[T], askResult) {
-	timeout := q.Wait + answerTimeout
-	if q.Wait == 0 {
-		timeout = immediateAnswerTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	received, err := r.transport.Ask(ctx, m, q)
-	if err != nil {
-		r.selector.Exclude(r.time().Add(failedExclusion), m.VM)
-		return Answer[T]{}, silent
-	}
-	path := append([]ident.VMID{m.VM}, received.Path...)
-	if received.Outcome == Disconnected || len(path) > maxPath || !r.selector.accepts(r.time(), received.Path) {
-		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
-		return Answer[T]{}, rejected
-	}
-	a := Answer[T]{Outcome: received.Outcome, Version: received.Version, Path: path, Changes: make([]platform.Change[T], 0, len(received.Changes))}
-	for _, c := range received.Changes {
-		decoded := platform.Change[T]{Name: c.Name, Deleted: c.Deleted}
-		if !c.Deleted {
-			if decoded.Value, err = r.codec.Unmarshal(c.Value); err != nil {
-				// One object that cannot be decoded must not hide the others.
-				decoded.Deleted = true
-				r.reportUnreadable(c.Name, err)
-			}
-		}
-		a.Changes = append(a.Changes, decoded)
-	}
-	return a, accepted
-}
-
-// reportDetour reports a detour unless it resembles the last one.
-func (r *Reader[T]) reportDetour(d Detour) {
-	last := r.lastDetour
-	r.lastDetour = d
-	if r.ReadThroughOthers != nil && (!slices.Equal(d.Path, last.Path) || errorText(d.StoreErr) != errorText(last.StoreErr)) {
-		r.ReadThroughOthers(d)
-	}
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-func (r *Reader[T]) reportUnreadable(name string, err error) {
-	if r.Unreadable != nil {
-		r.Unreadable(r.Kind(), name, err)
-	}
-}
-
 // Answer answers a question of another VM.
 func (r *Reader[T]) Answer(ctx context.Context, q Question) Answer[[]byte] {
 	wait := min(q.Wait, maxMirrorWait)
