--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -1,6 +1,6 @@
 // Package pace finds the load that a replica can take after it started, recovered or
 // asked for a time without requests. Each VM estimates the concurrency that the replica
-// bears over all VMs and uses its own share of it. The estimate doubles for each round of
+// can carry over all VMs and uses its own share of it. The estimate doubles for each round of
 // good replies and halves after a bad one, as in slow start and congestion avoidance
 // (Jacobson, "Congestion Avoidance and Control").
 package pace
@@ -226,7 +226,7 @@
 	return true
 }
 
-// isBad reports whether the reply shows that the replica has more load than it bears. It
+// isBad reports whether the reply shows that the replica has more load than it can carry. It
 // records the best latency.
 func (p *Pace) isBad(r Reply) bool {
 	switch r.Result {
--- a/core/rollout/advance.go
+++ b/core/rollout/advance.go
@@ -52,7 +52,7 @@
 )
 
 // advance enters the next step once the present one has lasted long enough. Only a judge
-// that hears most VMs advances, so that the judges of a partition do not.
+// that gets reports of most VMs advances, so that the judges of a partition do not.
 func (j *Judge) advance(now ident.Instant, vms int, capacity Capacity) {
 	heard, othersInUse := j.countHeard(now)
 	if 2*heard <= vms {
