gate: unread answers make room for replies; memory alone bounds the configuration

- The bodies of replies stay reserved until their answers are written.
When less than a quarter of their budget is left, callers who have taken nothing for a second are cut off.
- A head of any size that the configuration allows is read if the memory for requests can hold it; before, 256 KiB were the most.
A longer body than that memory gets 413, not 503 with Retry-After, and the contradiction is logged once for each limit.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -119,6 +119,9 @@
 // SetLimits replaces the limits. Nobody is turned away before the next need.
 func (l *Ledger[K]) SetLimits(limits Limits) { l.limits = limits }
 
+// Limits returns the limits in force.
+func (l *Ledger[K]) Limits() Limits { return l.limits }
+
 // Len returns the number of open connections.
 func (l *Ledger[K]) Len() int { return l.open }
 
@@ -258,6 +261,18 @@
 	return c != nil && c.stalled(now)
 }
 
+// GiveUp returns the connections whose callers have taken nothing of their answers for a
+// while, which must be closed to release the memory of the answers.
+func (l *Ledger[K]) GiveUp(now ident.Instant) (stalled []K) {
+	for k, c := range l.connections {
+		if c.phase != Closed && c.stalled(now) {
+			l.end(c, Refused)
+			stalled = append(stalled, k)
+		}
+	}
+	return stalled
+}
+
 // A Verdict is the result of Hold.
 type Verdict uint8
 
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -106,7 +106,7 @@
 }
 
 // TestConnectionsThatAskNothing has a flood of connections that ask nothing, or a part of
-// a head. Those that were idle before are kept, and a new caller is heard.
+// a head. Those that were idle before are kept, and a new caller gets a connection.
 func TestConnectionsThatAskNothing(t *testing.T) {
 	l, now := newLedger(), start
 	const kept = connections / 4
@@ -126,7 +126,7 @@
 		}
 	}
 	if !arrive(l, now, -1, smallBody) || l.Len() > connections {
-		t.Errorf("a caller was not heard; %d connections", l.Len())
+		t.Errorf("a caller was refused; %d connections", l.Len())
 	}
 }
 
@@ -200,6 +200,9 @@
 	if _, verdict = l.Hold(now, -1, smallBody); verdict != intake.Held {
 		t.Errorf("verdict %d after an answer was given up", verdict)
 	}
+	if stalled := l.GiveUp(now.Add(time.Second)); len(stalled) != 1 || stalled[0] != 2 {
+		t.Errorf("connections %v were given up", stalled)
+	}
 }
 
 // TestLedgerKeepsItsLimits checks with random events that the limits hold, that only
--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -42,6 +42,8 @@
 	// limit is the bound; 0 means none.
 	limit atomic.Int64
 	used  atomic.Int64
+	// short is called when little is left; nil if nobody wants to know.
+	short atomic.Pointer[func()]
 }
 
 // NewBudget returns a Budget with a bound.
@@ -54,6 +56,18 @@
 // SetLimit replaces the bound. Bytes that are reserved already stay reserved.
 func (b *Budget) SetLimit(limit ident.Bytes) { b.limit.Store(int64(limit)) }
 
+// OnShort makes Reserve call f when less than a quarter of the bound is left, so that others
+// can release bytes before bodies are refused. f must return at once.
+func (b *Budget) OnShort(f func()) { b.short.Store(&f) }
+
+// warn calls the function of OnShort if used bytes leave little of the limit.
+func (b *Budget) warn(limit, used int64) {
+	const shortShare = 4
+	if f := b.short.Load(); f != nil && limit > 0 && used > limit-limit/shortShare {
+		(*f)()
+	}
+}
+
 // Used returns the number of reserved bytes.
 func (b *Budget) Used() ident.Bytes { return ident.Bytes(b.used.Load()) }
 
@@ -78,9 +92,11 @@
 		used := before + int64(n)
 		alone := used == int64(size) && used <= limit
 		if limit > 0 && !alone && int64(size) > maxShareOfRest*(limit-used) {
+			b.warn(limit, limit)
 			return &Error{"read", OverBudget, ident.Bytes(limit)}
 		}
 		if b.used.CompareAndSwap(before, used) {
+			b.warn(limit, used)
 			return nil
 		}
 	}
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -44,3 +44,18 @@
 		t.Errorf("%q, %v", text, err)
 	}
 }
+
+// TestBudgetWarnsBeforeItIsShort checks that others are asked for bytes before the first
+// body is refused, and then each time.
+func TestBudgetWarnsBeforeItIsShort(t *testing.T) {
+	b, warnings := body.NewBudget(100), 0
+	b.OnShort(func() { warnings++ })
+	for i := range 8 {
+		if err := b.Reserve(10, 10); err != nil || (warnings > 0) != (i == 7) {
+			t.Errorf("body %d: %v, %d warnings", i, err, warnings)
+		}
+	}
+	if err := b.Reserve(10, 30); err == nil || warnings != 2 {
+		t.Errorf("%v, %d warnings", err, warnings)
+	}
+}
--- a/serve/gate/gate.go
+++ b/serve/gate/gate.go
@@ -41,8 +41,8 @@
 const RetryAfter = time.Second
 
 const (
-	// maxHeadBytes bounds each head, whatever the configuration says.
-	maxHeadBytes = 256 << 10
+	// serverHeadBytes is the limit of net/http, above all limits that a Gate applies.
+	serverHeadBytes = 1 << 30
 	// defaultHeadBytes applies while the configuration has no limit.
 	defaultHeadBytes = 64 << 10
 	// A head may take headFactor times the configuration's limit and headMargin, since
@@ -64,6 +64,9 @@
 	// served after it.
 	maxHoldWait = 5 * time.Second
 	holdShare   = 2
+	// giveUpInterval is the least time between two looks at all connections for answers that
+	// are not read.
+	giveUpInterval = 100 * time.Millisecond
 	// logInterval is the least time between two log lines about callers turned away.
 	logInterval = 10 * time.Second
 )
@@ -104,6 +107,10 @@
 	// turnedAway counts callers since the start, logged those up to the latest log line.
 	turnedAway, logged map[Reason]uint64
 	loggedAt           ident.Instant
+	// gaveUpAt is when GiveUpAnswers last looked at the connections.
+	gaveUpAt ident.Instant
+	// reportedBody is the limit for bodies that was last reported to exceed the memory.
+	reportedBody ident.Bytes
 }
 
 // New returns a Gate.
@@ -136,7 +143,7 @@
 func (g *Gate) Server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:        g.handler(h),
-		MaxHeaderBytes: maxHeadBytes,
+		MaxHeaderBytes: serverHeadBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -278,6 +285,38 @@
 	return verdict, released
 }
 
+// GiveUpAnswers closes the connections of callers who have taken nothing of their answers
+// for a while. It is called while the memory for replies is short.
+func (g *Gate) GiveUpAnswers() {
+	g.mu.Lock()
+	now := g.config.Clock.Now()
+	if g.gaveUpAt != 0 && now.Sub(g.gaveUpAt) < giveUpInterval {
+		g.mu.Unlock()
+		return
+	}
+	g.gaveUpAt = now
+	stalled := g.ledger.GiveUp(now)
+	for _, c := range stalled {
+		g.countLocked(c, UnreadAnswer)
+	}
+	g.mu.Unlock()
+	for _, c := range stalled {
+		_ = c.Conn.Close()
+	}
+}
+
+// reportBody logs a limit for bodies that exceeds the memory for requests, once.
+func (g *Gate) reportBody(limit, memory ident.Bytes) {
+	g.mu.Lock()
+	reported := g.reportedBody == limit
+	g.reportedBody = limit
+	g.mu.Unlock()
+	if !reported {
+		g.config.Log.Warn().Str("listener", g.config.Name).Int64("limit-bytes", int64(limit)).
+			Int64("memory-bytes", int64(memory)).Msg("body-limit-exceeds-memory")
+	}
+}
+
 // update changes the ledger.
 func (g *Gate) update(f func(now ident.Instant, l *intake.Ledger[*conn])) {
 	g.mu.Lock()
@@ -326,9 +365,20 @@
 	t.HeadTime = max(timeFactor*t.HeadTime, minHeadTime)
 	t.Idle *= timeFactor
 	if t.HeadBytes > 0 {
-		t.HeadBytes = min(headFactor*t.HeadBytes+headMargin, maxHeadBytes)
+		t.HeadBytes = headFactor*t.HeadBytes + headMargin
 	} else {
 		t.HeadBytes = defaultHeadBytes
 	}
+	t.HeadBytes = min(t.HeadBytes, g.memory())
 	return t
 }
+
+// memory returns the bound of the memory for requests.
+func (g *Gate) memory() ident.Bytes {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.ledger.Limits().Memory; m > 0 {
+		return m
+	}
+	return serverHeadBytes
+}
--- a/serve/gate/gate_test.go
+++ b/serve/gate/gate_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -65,9 +67,17 @@
 			<-release
 			return
 		}
-		_, _, err := body.ReadWithin(r.Body, bodyBytes, request)
+		limit := ident.Bytes(bodyBytes)
+		if r.URL.Path == "/limited" {
+			limit = request.BodyLimit(2 * memory)
+		}
+		_, _, err := body.ReadWithin(r.Body, limit, request)
 		var turnedAway *gate.Error
+		var tooLong *body.Error
 		switch {
+		case errors.As(err, &tooLong):
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
 		case errors.As(err, &turnedAway):
 			w.Header().Set("Connection", "close")
 			http.Error(w, string(turnedAway.Kind), map[gate.Reason]int{gate.Memory: 503, gate.SlowBody: 408}[turnedAway.Kind])
@@ -227,6 +237,25 @@
 	}
 }
 
+// TestAnswersAreGivenUpForReplies has a caller that reads nothing of its answer, and one
+// that waits for its own, while the memory for replies is short.
+func TestAnswersAreGivenUpForReplies(t *testing.T) {
+	g, address := startServer(t, gate.Times{}, nil)
+	unread, idle := send(t, address, post("/large", 1, 1)), send(t, address, post("/", 1, 1))
+	if got := status(idle); got != http.StatusOK {
+		t.Fatalf("status %d", got)
+	}
+	time.Sleep(1200 * time.Millisecond)
+	g.GiveUpAnswers()
+	_ = unread.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if n, err := io.Copy(io.Discard, unread); n >= unreadBytes || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	if _, err := io.WriteString(idle, post("/", 1, 1)); err != nil || status(idle) != http.StatusOK {
+		t.Errorf("an idle connection was closed: %v", err)
+	}
+}
+
 // TestWaitForMemoryEndsBeforeTheDeadline has refused requests whose memory is not released,
 // since an attempt still refers to it.
 func TestWaitForMemoryEndsBeforeTheDeadline(t *testing.T) {
@@ -320,10 +349,38 @@
 	}
 }
 
+// TestOnlyMemoryBoundsTheConfiguration checks that a head is served that the configuration
+// allows, and that what never fits into the memory is not refused as if it might later.
+func TestOnlyMemoryBoundsTheConfiguration(t *testing.T) {
+	const limit = 300 << 10
+	var log bytes.Buffer
+	g, address := startLogged(t, gate.Times{HeadBytes: limit}, nil, zerolog.New(zerolog.SyncWriter(&log)))
+	long := "GET / HTTP/1.1\r\nHost: x\r\nLong: " + strings.Repeat("x", limit-1<<10) + "\r\n\r\n"
+	if got := status(send(t, address, long)); got != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d of a head above the memory", got)
+	}
+	large := post("/limited", 2*memory, 2*memory)
+	for range 2 {
+		if got := status(send(t, address, large)); got != http.StatusRequestEntityTooLarge {
+			t.Errorf("status %d of a body above the memory", got)
+		}
+	}
+	if n := strings.Count(log.String(), "body-limit-exceeds-memory"); n != 1 {
+		t.Errorf("a limit above the memory was logged %d times", n)
+	}
+	g.SetLimits(intake.Limits{Connections: 8, Memory: 1 << 20})
+	if got := status(send(t, address, long)); got != http.StatusOK {
+		t.Errorf("status %d of a head that the configuration allows", got)
+	}
+}
+
 // TestRequestWithoutGate checks that a handler runs without a gate.
 func TestRequestWithoutGate(t *testing.T) {
 	request := gate.RequestOf(context.Background())
 	request.ArriveWithin(time.Second)
+	if got := request.BodyLimit(bodyBytes); got != bodyBytes {
+		t.Errorf("a limit of %d bytes", got)
+	}
 	if _, n, err := body.ReadWithin(strings.NewReader("abc"), bodyBytes, request); err != nil || n == 0 {
 		t.Fatalf("%d bytes, %v", n, err)
 	}
--- a/serve/gate/request.go
+++ b/serve/gate/request.go
@@ -58,6 +58,21 @@
 	return &Error{"reserve", Memory, errNoMemory}
 }
 
+// BodyLimit returns a limit for the body, or what the memory for requests can hold of one
+// if that is less: a longer body would never be served.
+func (r *Request) BodyLimit(limit ident.Bytes) ident.Bytes {
+	if r == nil {
+		return limit
+	}
+	g := r.conn.gate
+	memory := g.memory()
+	if limit >= memory {
+		g.reportBody(limit, memory)
+	}
+	// A reader reserves one byte above the limit.
+	return min(limit, max(memory-r.conn.headHeld-1, 0))
+}
+
 // Release returns n reserved bytes.
 func (r *Request) Release(n ident.Bytes) {
 	if r != nil && n > 0 {
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -135,6 +135,9 @@
 	}
 	v.stopTimes.Store(stopTimesOf(s))
 	v.gates = newGates(v)
+	if m := v.replyMemory(); m != nil {
+		m.OnShort(v.gates.front.GiveUpAnswers)
+	}
 	if o.Discovery != nil {
 		v.upstream = o.Discovery.UpstreamClient
 	}
