--- a/core/node/core.go
+++ b/core/node/core.go
@@ -143,7 +143,7 @@
 		runningBookings: map[ident.RequestKey]container.Handle{},
 		recentLosses:    container.NewRing[upstreamLoss](maxRecentLosses),
 		profiles:        map[ident.RouteID]*profile{},
-		usage:           usage.New(usage.Config{VM: config.VM, Started: config.Started, FirstStart: config.FirstStart}),
+		usage:           usage.New(usage.Config{VM: config.VM, Incarnation: config.Incarnation, Started: config.Started, FirstStart: config.FirstStart}),
 		splitPhase:      float64(config.Random.IntN(randomSteps)) / randomSteps,
 	}
 }
@@ -194,6 +194,7 @@
 	}
 	for id := range c.services {
 		if !installed[id] {
+			c.services[id].rollout = nil
 			delete(c.services, id)
 		}
 	}
--- a/core/node/rollout.go
+++ b/core/node/rollout.go
@@ -21,8 +21,6 @@
 	plan     *rollout.Plan
 	exposure rollout.Exposure
 	tally    rollout.Tally
-	// timerPending is true while a rolloutTimer of the service is pending.
-	timerPending bool
 	// listedAt holds when this VM first knew each replica of the target.
 	listedAt map[*replica.State]ident.Instant
 }
@@ -83,12 +81,19 @@
 	return false
 }
 
-// queueVersions returns the versions to which queued parts may go.
-func (s *service) queueVersions() replica.Versions {
-	if s.rollout == nil || s.rollout.exposure.Prefers(s.rollout.plan) {
+// queueVersions returns the versions to which the next queued part may go, as decide would
+// choose: a part that leaves the queue for a version that decide does not pick would lose
+// its place.
+func (s *service) queueVersions(in *replica.Selection) replica.Versions {
+	switch ro := s.rollout; {
+	case ro == nil:
 		return replica.AnyVersion
+	case !ro.exposure.Prefers(ro.plan):
+		return replica.OnlyOthers
+	case ro.plan.Step == rollout.Takeover && targetUsable(in):
+		return replica.OnlyTarget
 	}
-	return replica.OnlyOthers
+	return replica.AnyVersion
 }
 
 func (s *service) countFirst() {
@@ -121,15 +126,16 @@
 
 // scheduleRollout sets a timer for the next report of a service whose order is in progress.
 func (c *Core) scheduleRollout(now ident.Instant, svc *service) {
-	if svc.rollout == nil || svc.rollout.timerPending {
+	if svc.rollout == nil || svc.rolloutTimerPending {
 		return
 	}
-	svc.rollout.timerPending = true
+	svc.rolloutTimerPending = true
 	c.timers.Add(now.Add(rolloutReportInterval), timer{kind: rolloutTimer, svc: svc})
 }
 
 // reportRollout reports the evidence of a service to control.
 func (c *Core) reportRollout(now ident.Instant, svc *service) {
+	svc.rolloutTimerPending = false
 	ro := svc.rollout
 	if ro == nil {
 		return
@@ -146,7 +152,6 @@
 		}
 	}
 	c.notify(News{Kind: Rollout, Rollout: e})
-	ro.timerPending = false
 	c.scheduleRollout(now, svc)
 }
 
