--- a/serve/gate/gate_test.go
+++ b/serve/gate/gate_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -34,9 +36,14 @@
 // startServer serves on loopback through a gate. Its handler reads bodies as the product's
 // do, and answers /held only after release is closed.
 func startServer(t *testing.T, times gate.Times, release chan struct{}) (g *gate.Gate, address string) {
+	t.Helper()
+	return startLogged(t, times, release, zerolog.Nop())
+}
+
+func startLogged(t *testing.T, times gate.Times, release chan struct{}, log zerolog.Logger) (g *gate.Gate, address string) {
 	t.Helper()
 	g = gate.New(gate.Config{
-		Name: "test", Limits: intake.Limits{Connections: 8, Memory: memory}, Clock: clock.New(), Log: zerolog.Nop(),
+		Name: "test", Limits: intake.Limits{Connections: 8, Memory: memory}, Clock: clock.New(), Log: log,
 		Times: func() gate.Times { return times },
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -60,9 +67,17 @@
 			<-release
 			return
 		}
-		_, _, err := body.ReadWithin(r.Body, bodyBytes, request)
+		limit := ident.Bytes(bodyBytes)
+		if r.URL.Path == "/limited" {
+			limit = request.BodyLimit(2 * memory)
+		}
+		_, _, err := body.ReadWithin(r.Body, limit, request)
 		var turnedAway *gate.Error
+		var tooLong *body.Error
 		switch {
+		case errors.As(err, &tooLong):
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
 		case errors.As(err, &turnedAway):
 			w.Header().Set("Connection", "close")
 			http.Error(w, string(turnedAway.Kind), map[gate.Reason]int{gate.Memory: 503, gate.SlowBody: 408}[turnedAway.Kind])
@@ -71,6 +86,12 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		if r.URL.Path == "/retained" {
+			<-release
+			request.Retain()
+			release <- struct{}{}
+			request.Done()
+		}
 		if r.URL.Path == "/held" {
 			// An attempt outlives the answer.
 			request.Retain()
@@ -216,6 +237,25 @@
 	}
 }
 
+// TestAnswersAreGivenUpForReplies has a caller that reads nothing of its answer, and one
+// that waits for its own, while the memory for replies is short.
+func TestAnswersAreGivenUpForReplies(t *testing.T) {
+	g, address := startServer(t, gate.Times{}, nil)
+	unread, idle := send(t, address, post("/large", 1, 1)), send(t, address, post("/", 1, 1))
+	if got := status(idle); got != http.StatusOK {
+		t.Fatalf("status %d", got)
+	}
+	time.Sleep(1200 * time.Millisecond)
+	g.GiveUpAnswers()
+	_ = unread.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if n, err := io.Copy(io.Discard, unread); n >= unreadBytes || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	if _, err := io.WriteString(idle, post("/", 1, 1)); err != nil || status(idle) != http.StatusOK {
+		t.Errorf("an idle connection was closed: %v", err)
+	}
+}
+
 // TestWaitForMemoryEndsBeforeTheDeadline has refused requests whose memory is not released,
 // since an attempt still refers to it.
 func TestWaitForMemoryEndsBeforeTheDeadline(t *testing.T) {
@@ -272,10 +312,75 @@
 	}
 }
 
+// A heldLog blocks the gate that writes to it, until it is released.
+type heldLog struct{ writing, release chan struct{} }
+
+func (l heldLog) Write(p []byte) (int, error) {
+	l.writing <- struct{}{}
+	<-l.release
+	return len(p), nil
+}
+
+// TestAttemptsBeginWhileTheGateIsBusy checks that the loop that sends attempts does not wait
+// for a gate.
+func TestAttemptsBeginWhileTheGateIsBusy(t *testing.T) {
+	log, retained := heldLog{make(chan struct{}), make(chan struct{})}, make(chan struct{})
+	_, address := startLogged(t, gate.Times{}, retained, zerolog.New(log))
+	client := send(t, address, post("/retained", 1, 1))
+	retained <- struct{}{}
+	<-retained
+	if got := status(client); got != http.StatusOK {
+		t.Fatalf("status %d", got)
+	}
+	client = send(t, address, post("/retained", 1, 1))
+	time.Sleep(100 * time.Millisecond)
+	send(t, address, "GET / HTTP/1.1\r\nLong: "+strings.Repeat("x", 80<<10))
+	<-log.writing
+	retained <- struct{}{}
+	select {
+	case <-retained:
+	case <-time.After(5 * time.Second):
+		t.Error("an attempt waits for the gate")
+		defer func() { <-retained }()
+	}
+	close(log.release)
+	if got := status(client); !t.Failed() && got != http.StatusOK {
+		t.Errorf("status %d", got)
+	}
+}
+
+// TestOnlyMemoryBoundsTheConfiguration checks that a head is served that the configuration
+// allows, and that what never fits into the memory is not refused as if it might later.
+func TestOnlyMemoryBoundsTheConfiguration(t *testing.T) {
+	const limit = 300 << 10
+	var log bytes.Buffer
+	g, address := startLogged(t, gate.Times{HeadBytes: limit}, nil, zerolog.New(zerolog.SyncWriter(&log)))
+	long := "GET / HTTP/1.1\r\nHost: x\r\nLong: " + strings.Repeat("x", limit-1<<10) + "\r\n\r\n"
+	if got := status(send(t, address, long)); got != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d of a head above the memory", got)
+	}
+	large := post("/limited", 2*memory, 2*memory)
+	for range 2 {
+		if got := status(send(t, address, large)); got != http.StatusRequestEntityTooLarge {
+			t.Errorf("status %d of a body above the memory", got)
+		}
+	}
+	if n := strings.Count(log.String(), "body-limit-exceeds-memory"); n != 1 {
+		t.Errorf("a limit above the memory was logged %d times", n)
+	}
+	g.SetLimits(intake.Limits{Connections: 8, Memory: 1 << 20})
+	if got := status(send(t, address, long)); got != http.StatusOK {
+		t.Errorf("status %d of a head that the configuration allows", got)
+	}
+}
+
 // TestRequestWithoutGate checks that a handler runs without a gate.
 func TestRequestWithoutGate(t *testing.T) {
 	request := gate.RequestOf(context.Background())
 	request.ArriveWithin(time.Second)
+	if got := request.BodyLimit(bodyBytes); got != bodyBytes {
+		t.Errorf("a limit of %d bytes", got)
+	}
 	if _, n, err := body.ReadWithin(strings.NewReader("abc"), bodyBytes, request); err != nil || n == 0 {
 		t.Fatalf("%d bytes, %v", n, err)
 	}
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -135,6 +135,9 @@
 	}
 	v.stopTimes.Store(stopTimesOf(s))
 	v.gates = newGates(v)
+	if m := v.replyMemory(); m != nil {
+		m.OnShort(v.gates.front.GiveUpAnswers)
+	}
 	if o.Discovery != nil {
 		v.upstream = o.Discovery.UpstreamClient
 	}
@@ -201,13 +204,13 @@
 func (v *VM) listen() error {
 	m := v.settings.Message.Vm
 	var err error
-	if v.callerListener, err = net.Listen("tcp", m.Listen); err != nil {
+	if v.callerListener, err = gate.Listen(context.Background(), m.Listen); err != nil {
 		return &Error{"listen", CannotStart, err}
 	}
 	if m.Operators == "" {
 		return nil
 	}
-	if v.operatorListener, err = net.Listen("tcp", m.Operators); err != nil {
+	if v.operatorListener, err = gate.Listen(context.Background(), m.Operators); err != nil {
 		return errors.Join(&Error{"listen", CannotStart, err}, v.callerListener.Close())
 	}
 	return nil
