usage: questions and timers in a fixed order

Cause: the order of Go's maps decided which question was sent first, so that a seed of the property tests did not reproduce a run.

Change: both loops follow the sorted names.

--- a/core/usage/exchange.go
+++ b/core/usage/exchange.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"maps"
 	"slices"
 
 	"carawaycross.example/carawaycross/core/ident"
@@ -273,7 +274,8 @@
 	if collects {
 		l.nextCollect = now.Add(ident.Span(collectShare, l.lease))
 	}
-	for _, a := range l.accounts {
+	for _, id := range slices.Sorted(maps.Keys(l.accounts)) {
+		a := l.accounts[id]
 		l.tickWaiting(now, a)
 		if a.pool == nil {
 			continue
@@ -323,7 +325,8 @@
 		return buf
 	}
 	l.queued = false
-	for vm, p := range l.peers {
+	for _, vm := range slices.Sorted(maps.Keys(l.peers)) {
+		p := l.peers[vm]
 		restarted := !p.informed && now >= p.informAt && now < l.withheldUntil && l.discardedAt == 0
 		if p.outstanding != nil || !restarted && len(p.asks)+len(p.collects)+len(p.returns) == 0 {
 			continue
