rollout: a status that can't be written delays no other service's

Cause (review): the back-off after a failed write was shared by all services.

Change: one for each service.

--- a/serve/vm/rollout.go
+++ b/serve/vm/rollout.go
@@ -118,7 +118,7 @@
 // writeStages writes the stages that runRollouts asks for. The store may be slow, so that
 // reports do not wait for it.
 func (v *VM) writeStages(ctx context.Context) {
-	w := stageWriter{vm: v, written: map[ident.ServiceID]writtenStage{}}
+	w := stageWriter{vm: v, attempts: map[ident.ServiceID]*stageAttempt{}}
 	for {
 		select {
 		case writes := <-v.rolloutWrites:
@@ -258,38 +258,43 @@
 	return body
 }
 
-// A writtenStage is a stage that the store has accepted.
-type writtenStage struct {
+// A stageAttempt is the state of the writes about one service.
+type stageAttempt struct {
+	// order and stage are those that the store accepted last, at the time at.
 	order rollout.OrderID
 	stage rollout.Stage
 	at    time.Time
+	// notBefore is the time of the next attempt after a failed one.
+	notBefore time.Time
+	backoff   platform.Backoff
 }
 
 // A stageWriter writes stages to the store, each one once unless the VM does not read it
-// back.
+// back. A service whose order can't be written does not delay the others.
 type stageWriter struct {
-	vm      *VM
-	written map[ident.ServiceID]writtenStage
-	backoff platform.Backoff
-	// notBefore is the time of the next attempt after a failed one.
-	notBefore time.Time
+	vm       *VM
+	attempts map[ident.ServiceID]*stageAttempt
 }
 
 func (w *stageWriter) write(ctx context.Context, writes []rollout.Write) {
 	for _, x := range writes {
-		last := w.written[x.Order.Service]
+		a := w.attempts[x.Order.Service]
+		if a == nil {
+			a = &stageAttempt{}
+			w.attempts[x.Order.Service] = a
+		}
 		now := time.Now()
-		if now.Before(w.notBefore) || (last.order == x.Order.ID && last.stage == x.Stage && now.Sub(last.at) < writeRepeat) {
+		if now.Before(a.notBefore) || (a.order == x.Order.ID && a.stage == x.Stage && now.Sub(a.at) < writeRepeat) {
 			continue
 		}
 		held, err := w.vm.discovery.Rollouts.Writer.WriteStage(ctx, string(x.Order.Service), x.Order.ID, x.Stage)
 		line := w.vm.log.Info()
 		if err != nil {
 			line = w.vm.log.Warn().Err(err)
-			w.notBefore = time.Now().Add(w.backoff.Next(rand.Float64()))
+			a.notBefore = time.Now().Add(a.backoff.Next(rand.Float64()))
 		} else {
-			w.written[x.Order.Service] = writtenStage{x.Order.ID, x.Stage, now}
-			w.backoff.Reset()
+			a.order, a.stage, a.at = x.Order.ID, x.Stage, now
+			a.backoff.Reset()
 		}
 		line.Str("service", string(x.Order.Service)).Str("target", string(x.Order.ID.Target)).Str("stage", x.Stage.String()).
 			Str("held", held.String()).Msg("rollout-status-written")
