retry: the reserve for retries is in whole attempts

Cause: of 140 VMs each has a share of two and a half extra attempts at a shard in ten seconds; hedges could use seven tenths of it, which is one.

Change: hedges leave the whole attempts that three tenths of the quota make.

Result: TestSmallShareIsUsedForHedges, one hedge before, two now. Larger quotas change by less than one attempt.

--- a/core/retry/quota.go
+++ b/core/retry/quota.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"time"
 
 	"carawaycross.example/carawaycross/core/container"
@@ -84,10 +85,13 @@
 // Allowed returns how many extra attempts, or only hedges, the VM may send in the window
 // of length CountedSpan that ends now.
 func (q *Quota) Allowed(now ident.Instant, hedge bool) float64 {
+	allowed := q.allowed(now)
 	if hedge {
-		return hedgeShare * q.allowed(now)
+		// Whole attempts are reserved for retries: where many VMs share a small allowance, a
+		// fraction of one would keep back most of what hedges may use.
+		allowed -= math.Floor((1 - hedgeShare) * allowed)
 	}
-	return q.allowed(now)
+	return allowed
 }
 
 // CountedSpan returns the time over which extra attempts are counted.
--- a/core/retry/quota_test.go
+++ b/core/retry/quota_test.go
@@ -121,3 +121,19 @@
 		t.Fatal("a hedge spent the retry of a lost attempt")
 	}
 }
+
+// TestSmallShareIsUsedForHedges answers a deployment of 140 VMs, of which each has a share of
+// two and a half extra attempts at a shard: two hedges fit, and no retry is left out for a
+// reserve of less than one attempt.
+func TestSmallShareIsUsedForHedges(t *testing.T) {
+	var q retry.Quota
+	q.SetLimits(retry.QuotaLimits{Allowance: 344, Span: 10 * time.Second}, 140)
+	now := ident.Instant(time.Hour)
+	hedges := 0
+	for q.Spend(now, true) {
+		hedges++
+	}
+	if hedges != 2 {
+		t.Errorf("%d hedges, expected 2", hedges)
+	}
+}
