--- a/review/.src-2/lab/main.go
+++ b/review/.src-2/lab/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	cases := map[string]func(){
-		"large-storm": largeStorm, "config-memory": configMemory, "machine-added": machineAdded, "long-hold": longHold, "hold-relisted": holdRelisted,
+		"large-storm": largeStorm, "config-memory": configMemory, "machine-added": machineAdded, "long-hold": longHold, "hold-relisted": holdRelisted, "crash-forgotten": crashForgotten,
 	}
 	if len(os.Args) == 2 && cases[os.Args[1]] != nil {
 		ends := make(chan os.Signal, 1)
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,4 +5,4 @@
 	echo "build first: the build line of deploy/system.toml, then review/build-2.sh"
 	exit 2
 fi
-RECORD=review/10/record.txt exec target/review-2/lab long-hold
+RECORD=review/10/record.txt exec target/review-2/lab hold-relisted
