--- a/review/.src-2/lab/lab.go
+++ b/review/.src-2/lab/lab.go
@@ -134,18 +134,29 @@
 	exited                 chan struct{}
 }
 
+// The ports of the machines lie below those that the kernel gives to connections.
+const firstPort, lastPort = 12000, 32000
+
+// usedPorts holds the ports that freePort has returned.
+var usedPorts = map[int]bool{}
+
 // freePort returns a port that is free for TCP and UDP.
 func freePort() int {
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if usedPorts[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
-		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenPacket("udp", fmt.Sprintf("127.0.0.1:%d", port))
+		u, err := net.ListenPacket("udp", address)
 		_ = l.Close()
 		if err == nil {
 			_ = u.Close()
+			usedPorts[port] = true
 			return port
 		}
 	}
