mirror, peer: log how long a VM was without a path, and why calls failed

New event path-regained: how long a kind had no path to the store, how many VMs were silent or rejected, how many calls to the store failed, how many were left to others. Errors of calls between VMs name the limit that was reached, or the age of the last response on the link. Peer metrics have Refused and Links. No decision changes.

--- a/serve/mirror/ask.go
+++ b/serve/mirror/ask.go
@@ -94,6 +94,12 @@
 // ask sends a question to a mirror. If the mirror fails or is disconnected, ask excludes
 // it for some time.
 func (r *Reader[T]) ask(ctx context.Context, m Member, q Question) (Answer[T], askResult) {
+	a, result := r.askOnce(ctx, m, q)
+	r.outages.countQuestion(result)
+	return a, result
+}
+
+func (r *Reader[T]) askOnce(ctx context.Context, m Member, q Question) (Answer[T], askResult) {
 	timeout := q.Wait + answerTimeout
 	if q.Wait == 0 {
 		timeout = immediateAnswerTimeout
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -116,6 +116,10 @@
 	// lastDetour is the detour of the last answer; its Path is nil if the last read came
 	// from the store or a mirror.
 	lastDetour Detour
+	// OutageEnded, if not nil, is called with the first answer after a read failed.
+	OutageEnded func(Outage)
+	// outages is only accessed by List and Changes.
+	outages outageLog
 }
 
 // A Detour is a read through VMs that are no mirrors of this one.
@@ -160,6 +164,7 @@
 
 // List returns all objects.
 func (r *Reader[T]) List(ctx context.Context) (platform.Listing[T], error) {
+	began := r.time()
 	question := Question{Kind: r.Kind(), Wait: r.InitialListWait}
 	responded, isBehind := r.selector.HasDisconnectedMirror(r.time()), false
 	for _, m := range r.selector.Mirrors(r.time()) {
@@ -167,6 +172,7 @@
 		if result == accepted {
 			r.cache.SetListing(l, path...)
 			r.pathLostAt = time.Time{}
+			r.recordAnswer(path)
 			return l, nil
 		}
 		responded = responded || result == rejected
@@ -177,6 +183,7 @@
 	if err == nil {
 		r.cache.SetListing(l)
 		r.pathLostAt = time.Time{}
+		r.recordAnswer(nil)
 		return l, nil
 	}
 	r.cache.MarkDisconnected()
@@ -184,20 +191,27 @@
 	for _, m := range r.selector.Others(r.time(), r.relay()) {
 		if l, path, result := r.askListing(ctx, m, question); result == accepted {
 			r.cache.SetListingWhileDisconnected(l, path...)
+			r.recordAnswer(path)
 			return l, nil
 		}
 	}
 	r.cache.MarkUnreachable()
+	r.outages.begin(began)
 	return l, err
 }
 
 // listStore lists the store, unless it is the turn of other VMs to call it.
 func (r *Reader[T]) listStore(ctx context.Context, responded bool) (platform.Listing[T], error) {
 	if !r.mayCallStore(responded) {
+		r.outages.current.Deferred++
 		return platform.Listing[T]{}, noPath()
 	}
 	r.storeCalledAt = r.time()
-	return r.source.List(ctx)
+	l, err := r.source.List(ctx)
+	if err != nil {
+		r.outages.current.StoreCalls++
+	}
+	return l, err
 }
 
 // mayCallStore reports whether this VM may call the store now that no mirror is
@@ -222,7 +236,8 @@
 // Changes waits for changes after a version. It returns none if there are none within
 // wait.
 func (r *Reader[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) (changes []platform.Change[T], version platform.StoreVersion, err error) {
-	responded := r.selector.HasDisconnectedMirror(r.time())
+	began := r.time()
+	responded := r.selector.HasDisconnectedMirror(began)
 	for _, m := range r.selector.Mirrors(r.time()) {
 		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait)})
 		responded = responded || result != silent
@@ -246,6 +261,7 @@
 		}
 		r.cache.Apply(a.Changes, a.Version, a.Path...)
 		r.lastDetour = Detour{}
+		r.recordAnswer(a.Path)
 		return a.Changes, a.Version, nil
 	}
 	if r.shouldReadStore(responded) {
@@ -255,15 +271,20 @@
 			return changes, version, err
 		}
 		r.storeFailedAt = r.time()
+		r.outages.current.StoreCalls++
+	} else {
+		r.outages.current.Deferred++
 	}
 	if a, ok := r.askOthers(ctx, after, wait); ok {
 		if a.Outcome == Compacted {
 			return nil, after, compacted()
 		}
 		r.reportDetour(Detour{Kind: r.Kind(), Path: a.Path, After: after, Version: a.Version, StoreErr: err})
+		r.recordAnswer(a.Path)
 		return a.Changes, a.Version, nil
 	}
 	r.cache.MarkUnreachable()
+	r.outages.begin(began)
 	if err == nil {
 		err = noPath()
 	}
@@ -302,6 +323,7 @@
 	r.cache.Apply(changes, version)
 	r.pathLostAt = time.Time{}
 	r.lastDetour = Detour{}
+	r.recordAnswer(nil)
 	return changes, version, nil
 }
 
--- a/serve/peer/peer.go
+++ b/serve/peer/peer.go
@@ -51,6 +51,8 @@
 	Unreachable Kind = "unreachable"
 	// Refused is a certificate of a peer that is not accepted.
 	Refused Kind = "refused"
+	// Busy is a message or call that was not queued.
+	Busy Kind = "busy"
 )
 
 // An Error is a failure to listen, to load or create keys, to verify a peer or
@@ -90,7 +92,7 @@
 	// links has at most maxPeers entries.
 	links map[ident.VMID]*link
 
-	bytesOut, bytesIn, messagesOut, messagesIn, dropped, dials atomic.Int64
+	bytesOut, bytesIn, messagesOut, messagesIn, dropped, dials, refused atomic.Int64
 }
 
 // A queueItem is a message or the request of a call.
@@ -111,12 +113,15 @@
 	vm      ident.VMID
 	address string
 	queue   chan queueItem
+	// respondedAt is when the VM last responded to a call; nil if it never did.
+	respondedAt atomic.Pointer[time.Time]
 }
 
 // Stats are totals since the start of the Transport. Bytes are those of bodies.
-// Dropped counts messages that were not sent and calls whose dial failed.
+// Dropped counts messages that were not sent and calls whose dial failed, Refused the
+// messages and calls for which there was no link. Links is the number of links in use.
 type Stats struct {
-	BytesOut, BytesIn, MessagesOut, MessagesIn, Dropped, Dials int64
+	BytesOut, BytesIn, MessagesOut, MessagesIn, Dropped, Dials, Refused, Links int64
 }
 
 // An Identity provides the TLS configurations that authenticate a VM and its
@@ -161,9 +166,12 @@
 
 // Stats returns the transport's totals.
 func (t *Transport) Stats() Stats {
+	t.mu.Lock()
+	links := len(t.links)
+	t.mu.Unlock()
 	return Stats{
 		t.bytesOut.Load(), t.bytesIn.Load(), t.messagesOut.Load(),
-		t.messagesIn.Load(), t.dropped.Load(), t.dials.Load(),
+		t.messagesIn.Load(), t.dropped.Load(), t.dials.Load(), t.refused.Load(), int64(links),
 	}
 }
 
@@ -179,7 +187,7 @@
 // Send queues a message to a VM. It does not wait for room in the queue: when
 // the queue is full the message is dropped.
 func (t *Transport) Send(vm ident.VMID, address string, body []byte) {
-	if !t.enqueue(vm, address, queueItem{body: body}) {
+	if t.enqueue(vm, address, queueItem{body: body}) != nil {
 		t.dropped.Add(1)
 	}
 }
@@ -187,44 +195,60 @@
 // Call sends a request to a VM and waits for the response.
 func (t *Transport) Call(ctx context.Context, vm ident.VMID, address string, body []byte) ([]byte, error) {
 	response := make(chan callResult, 1)
-	if !t.enqueue(vm, address, queueItem{body, response}) {
-		return nil, &Error{"call", Unreachable, errors.New("the call to " + string(vm) + " was not queued")}
+	if err := t.enqueue(vm, address, queueItem{body, response}); err != nil {
+		return nil, err
 	}
 	select {
 	case r := <-response:
 		return r.body, r.err
 	case <-ctx.Done():
-		return nil, &Error{"call", Unreachable, ctx.Err()}
+		return nil, &Error{"call", Unreachable, fmt.Errorf("%w; %s", ctx.Err(), t.linkState(vm))}
 	case <-t.ctx.Done():
 		return nil, &Error{"call", Unreachable, t.ctx.Err()}
 	}
 }
 
+// linkState describes the link to a VM, for errors.
+func (t *Transport) linkState(vm ident.VMID) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.links[vm]
+	if l == nil {
+		return "no link"
+	}
+	respondedAt := l.respondedAt.Load()
+	if respondedAt == nil {
+		return "no response on this link so far"
+	}
+	return fmt.Sprintf("last response %v ago", time.Since(*respondedAt).Round(time.Millisecond))
+}
+
 // enqueue adds an item to the queue of a VM's link. It starts a new link when
-// there is none or the address has changed. It returns false when the queue is
+// there is none or the address has changed. It returns an error when the queue is
 // full, when there are maxPeers links already or when the Transport is closed.
-func (t *Transport) enqueue(vm ident.VMID, address string, item queueItem) bool {
+func (t *Transport) enqueue(vm ident.VMID, address string, item queueItem) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.ctx.Err() != nil {
-		return false
+	if err := t.ctx.Err(); err != nil {
+		return &Error{"queue", Unreachable, err}
 	}
 	l := t.links[vm]
 	if l == nil || l.address != address {
 		if len(t.links) >= maxPeers {
-			return false
+			t.refused.Add(1)
+			return &Error{"queue", Busy, fmt.Errorf("%s: %d links to other VMs are in use", vm, len(t.links))}
 		}
 		l = &link{vm: vm, address: address, queue: make(chan queueItem, queueLength)}
 		t.links[vm] = l
 		if !t.workers.Go(t.ctx, func(ctx context.Context) { t.sendLoop(ctx, l) }) {
-			return false
+			return &Error{"queue", Unreachable, t.ctx.Err()}
 		}
 	}
 	select {
 	case l.queue <- item:
-		return true
+		return nil
 	default:
-		return false
+		return &Error{"queue", Busy, fmt.Errorf("%s: %d messages and calls wait", vm, len(l.queue))}
 	}
 }
 
@@ -287,6 +311,10 @@
 	if item.response != nil {
 		t.workers.Go(t.ctx, func(ctx context.Context) {
 			body, err := t.roundTrip(ctx, conn, item.body)
+			if err == nil {
+				now := time.Now()
+				l.respondedAt.Store(&now)
+			}
 			item.response <- callResult{body, err}
 		})
 		return conn
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -83,6 +83,8 @@
 	r.zonesOut.Unreadable, r.presets.Unreadable = v.logUnreadable, v.logUnreadable
 	r.replicas.ReadThroughOthers, r.configurations.ReadThroughOthers = v.logDetour, v.logDetour
 	r.zonesOut.ReadThroughOthers, r.presets.ReadThroughOthers = v.logDetour, v.logDetour
+	r.replicas.OutageEnded, r.configurations.OutageEnded = v.logOutage, v.logOutage
+	r.zonesOut.OutageEnded, r.presets.OutageEnded = v.logOutage, v.logOutage
 	if d.FirstStart {
 		r.replicas.InitialListWait, r.configurations.InitialListWait = mirror.InitialListWait, mirror.InitialListWait
 		r.zonesOut.InitialListWait, r.presets.InitialListWait = mirror.InitialListWait, mirror.InitialListWait
@@ -109,6 +111,11 @@
 		Uint64("version", uint64(d.Version)).AnErr("store-error", d.StoreErr).Msg("read-through-others")
 }
 
+func (v *VM) logOutage(o mirror.Outage) {
+	v.log.Info().Str("kind", o.Kind).Int64("lasted-ms", o.Lasted.Milliseconds()).Int("silent", o.Silent).Int("rejected", o.Rejected).
+		Int("store-calls", o.StoreCalls).Int("deferred", o.Deferred).Interface("path", o.Path).Msg("path-regained")
+}
+
 // guarded returns a source whose calls are cancelled when the prober detects that the
 // store no longer responds.
 func guarded[T any](source watch.Probeable[T], prober *watch.Prober) watch.Source[T] {
--- a/serve/vm/rollout.go
+++ b/serve/vm/rollout.go
@@ -151,7 +151,7 @@
 	r := mirror.NewReader(guarded(v.discovery.Rollouts.Orders, m.prober), mirror.Codec[rollout.Order]{
 		Marshal: codec.MarshalOrder, Unmarshal: codec.UnmarshalOrder,
 	}, m.selector, mirrorClient{v})
-	r.Unreadable, r.ReadThroughOthers = v.logUnreadable, v.logDetour
+	r.Unreadable, r.ReadThroughOthers, r.OutageEnded = v.logUnreadable, v.logDetour, v.logOutage
 	if v.discovery.FirstStart {
 		r.InitialListWait = mirror.InitialListWait
 	}
