--- a/serve/mirror/outage_test.go
+++ b/serve/mirror/outage_test.go
@@ -154,3 +154,38 @@
 		}
 	})
 }
+
+// TestSilentVMsCostOneWait guards against an old version that stays in force while a VM
+// that reads through others asks one after the other that was killed: a read waits for one
+// silent VM only.
+func TestSilentVMsCostOneWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		store.set("a", "1")
+		readers, order, transport := newZone(store, 8)
+		ctx := context.Background()
+		for _, r := range readers {
+			if _, err := r.List(ctx); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// The store refuses the third VM and its mirrors, which read through the others.
+		reader := readers[2]
+		store.down = true
+		for _, r := range readers[:3] {
+			_, _, _ = r.Changes(ctx, 1, 0)
+		}
+		for range 2 {
+			// The first read through others may miss the ones with a path.
+			_, _, _ = reader.Changes(ctx, 1, 15*time.Second)
+		}
+		for _, vm := range order {
+			transport.hanging[vm] = true
+		}
+		began := time.Now()
+		_, _, _ = reader.Changes(ctx, 1, 15*time.Second)
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("a read took %v while no VM answered, expected one wait", took)
+		}
+	})
+}
