mirror: a read waits for one silent VM only

A VM that reads through others asked up to three of them, one after the other, with a wait of 1.5 s each. After a kill of several VMs one read took 4.5 s, in which neither the store nor another VM was asked: most of the 5 s within which a change has to be in force. Callers saw answers of old routes.

Cause: each question had a bound, the read had none. The rule that only the first silent VM is waited for held for mirrors, not for the VMs that are asked instead of them.

--- a/serve/mirror/ask.go
+++ b/serve/mirror/ask.go
@@ -47,10 +47,42 @@
 	return r.lastDetour.Path[0]
 }
 
-// askOthers asks VMs that are not mirrors of this one.
+// askMirrors asks the mirrors in turn until one answers. It returns how many were asked and
+// how many of them responded. Only one silent mirror is waited for.
+func (r *Reader[T]) askMirrors(ctx context.Context, after platform.StoreVersion, wait time.Duration) (a Answer[T], ok bool, asked, responded int) {
+	wait = min(wait, maxMirrorWait)
+	for _, m := range r.selector.Mirrors(r.time()) {
+		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: wait})
+		asked++
+		if result != silent {
+			responded++
+		}
+		if result == accepted {
+			return a, true, asked, responded
+		}
+		if !r.cache.fromStore() {
+			// Until another mirror or the store answers, this VM is disconnected too.
+			r.cache.MarkDisconnected()
+			wait = 0
+		}
+		if result == silent {
+			wait = 0
+			if r.cache.readsStore() {
+				break
+			}
+		}
+	}
+	return Answer[T]{}, false, asked, responded
+}
+
+// askOthers asks VMs that are not mirrors of this one. Only one silent VM is waited for.
 func (r *Reader[T]) askOthers(ctx context.Context, after platform.StoreVersion, wait time.Duration) (Answer[T], bool) {
+	wait = min(wait, maxMirrorWait)
 	for _, m := range r.selector.Others(r.time(), r.relay()) {
-		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait), Disconnected: true})
+		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: wait, Disconnected: true})
+		if result == silent {
+			wait = 0
+		}
 		if result != accepted {
 			continue
 		}
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -237,24 +237,8 @@
 // wait.
 func (r *Reader[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) (changes []platform.Change[T], version platform.StoreVersion, err error) {
 	began := r.time()
-	responded := r.selector.HasDisconnectedMirror(began)
-	for _, m := range r.selector.Mirrors(r.time()) {
-		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: min(wait, maxMirrorWait)})
-		responded = responded || result != silent
-		if result != accepted && !r.cache.fromStore() {
-			// Until another mirror or the store answers, this VM is disconnected too.
-			// The remaining calls do not wait, so that the VMs that read through this
-			// one soon receive that state.
-			r.cache.MarkDisconnected()
-			wait = 0
-		}
-		if result == silent && r.cache.readsStore() {
-			// Several mirrors that are down must not cost a whole wait each.
-			break
-		}
-		if result != accepted {
-			continue
-		}
+	a, ok, asked, responded := r.askMirrors(ctx, after, wait)
+	if ok {
 		r.pathLostAt, r.storeReads = time.Time{}, 0
 		if a.Outcome == Compacted {
 			return nil, after, compacted()
@@ -264,7 +248,12 @@
 		r.recordAnswer(a.Path)
 		return a.Changes, a.Version, nil
 	}
-	if r.shouldReadStore(responded) {
+	if asked > 0 && !r.cache.fromStore() {
+		// The remaining calls do not wait, so that the VMs that read through this one soon
+		// receive its state.
+		wait = 0
+	}
+	if r.shouldReadStore(responded > 0 || r.selector.HasDisconnectedMirror(began)) {
 		if changes, version, err = r.readStore(ctx, after, wait); err == nil || storeAnswered(err) {
 			// The listing that follows an answer needs no further wait.
 			r.storeCalledAt = time.Time{}
