mirror: read the store soon after it responds again

Cause: a VM without a path calls the store at most every 4 s (the more VMs, the longer), so that an outage does not cost a call of each VM. The pause began with each call, also with one that the prober did not make because the store was silent. When the prober then found that the store responds again, the call ended at once so that it is repeated, but the reader waited out the pause. Its other waits (1.5 s for a silent VM, 0.15 s for each further one, up to 1 s after a failed read) came on top; each had a bound, their sum had none.

A call that waited for the silent store now returns the kind Recovered. The reader leaves the next call to scouts and mirrors for 1 s and then makes it. The pause between calls is 3 s for any number of VMs.

--- a/serve/mirror/ask.go
+++ b/serve/mirror/ask.go
@@ -117,10 +117,10 @@
 		errors.As(err, &ended) && ended.Kind == watch.Behind
 }
 
-// isSilent reports whether a call failed because the store did not respond.
-func isSilent(err error) bool {
+// isWatchError reports whether a call failed because of what a prober found.
+func isWatchError(err error, kind watch.Kind) bool {
 	var w *watch.Error
-	return errors.As(err, &w) && w.Kind == watch.Silent
+	return errors.As(err, &w) && w.Kind == kind
 }
 
 // ask sends a question to a mirror. If the mirror fails or is disconnected, ask excludes
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -43,18 +43,20 @@
 	// it reads from, before it answers Disconnected. Without it, all VMs that read
 	// through it would call the store at the same moment.
 	disconnectGrace = 300 * time.Millisecond
+	// recoveryDelay is how long a VM that should read from a mirror leaves the calls to
+	// others after the store responds again. By then a mirror that answered Disconnected is
+	// asked again.
+	recoveryDelay = disconnectedExclusion
 	// storeRetryInterval is the time between two calls to the store of a VM that should
-	// read from a mirror and reads through others, because the store does not serve it.
+	// read from a mirror, because the store does not serve it. Together with a call that
+	// fails and the questions to other VMs, it must fit into the time within which a change
+	// must be in force.
 	storeRetryInterval = 3 * time.Second
 	// A VM that is no scout and whose mirrors answer that they are disconnected calls the
 	// store minPathPatience after it lost its path, and up to patienceSpread later the
-	// further back it is in the order. By then most have a path through a scout. Later
-	// calls are callSpacing apart for each VM of the region, at most
-	// maxStoreRetryInterval.
-	minPathPatience       = 1500 * time.Millisecond
-	patienceSpread        = time.Second
-	callSpacing           = 50 * time.Millisecond
-	maxStoreRetryInterval = 4 * time.Second
+	// further back it is in the order. By then most have a path through a scout.
+	minPathPatience = 1500 * time.Millisecond
+	patienceSpread  = time.Second
 	// maxPath is the most VMs through which a VM reads the store.
 	maxPath = 8
 )
@@ -95,6 +97,9 @@
 	// storeCalledAt is when the store was last called. It is only accessed by List and
 	// Changes.
 	storeCalledAt time.Time
+	// storeRecoveredAt is when a call found that the store responds again; zero once the
+	// store or a mirror was read. It is only accessed by List and Changes.
+	storeRecoveredAt time.Time
 	// storeReads counts the reads from the store since a mirror last answered. It is only
 	// accessed by Changes.
 	storeReads int
@@ -171,7 +176,7 @@
 		l, path, result := r.askListing(ctx, m, question)
 		if result == accepted {
 			r.cache.SetListing(l, path...)
-			r.pathLostAt = time.Time{}
+			r.recordPath()
 			r.recordAnswer(path)
 			return l, nil
 		}
@@ -182,7 +187,7 @@
 	l, err := r.listStore(ctx, responded && !isBehind)
 	if err == nil {
 		r.cache.SetListing(l)
-		r.pathLostAt = time.Time{}
+		r.recordPath()
 		r.recordAnswer(nil)
 		return l, nil
 	}
@@ -206,10 +211,10 @@
 		r.outages.current.Deferred++
 		return platform.Listing[T]{}, noPath()
 	}
-	r.storeCalledAt = r.time()
+	r.storeCalledAt, r.storeRecoveredAt = r.time(), time.Time{}
 	l, err := r.source.List(ctx)
 	if err != nil {
-		r.outages.current.StoreCalls++
+		r.recordStoreFailure(err)
 	}
 	return l, err
 }
@@ -227,19 +232,33 @@
 	if r.pathLostAt.IsZero() {
 		r.pathLostAt = now
 	}
+	if !r.storeRecoveredAt.IsZero() {
+		return now.Sub(r.storeRecoveredAt) >= recoveryDelay
+	}
 	before, vms := r.selector.Position()
 	patience := minPathPatience + time.Duration(float64(patienceSpread)*float64(before)/float64(max(vms, 1)))
-	interval := min(max(storeRetryInterval, time.Duration(vms)*callSpacing), maxStoreRetryInterval)
-	return now.Sub(r.pathLostAt) >= patience && now.Sub(r.storeCalledAt) >= interval
+	return now.Sub(r.pathLostAt) >= patience && now.Sub(r.storeCalledAt) >= storeRetryInterval
+}
+
+// recordStoreFailure records the error of a call to the store.
+func (r *Reader[T]) recordStoreFailure(err error) {
+	r.outages.current.StoreCalls++
+	if isWatchError(err, watch.Recovered) {
+		r.storeRecoveredAt = r.time()
+	}
 }
 
+// recordPath records that a mirror or the store was read.
+func (r *Reader[T]) recordPath() { r.pathLostAt, r.storeRecoveredAt = time.Time{}, time.Time{} }
+
 // Changes waits for changes after a version. It returns none if there are none within
 // wait.
 func (r *Reader[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) (changes []platform.Change[T], version platform.StoreVersion, err error) {
 	began := r.time()
 	a, ok, asked, responded := r.askMirrors(ctx, after, wait)
 	if ok {
-		r.pathLostAt, r.storeReads = time.Time{}, 0
+		r.storeReads = 0
+		r.recordPath()
 		if a.Outcome == Compacted {
 			return nil, after, compacted()
 		}
@@ -260,7 +279,7 @@
 			return changes, version, err
 		}
 		r.storeFailedAt = r.time()
-		r.outages.current.StoreCalls++
+		r.recordStoreFailure(err)
 	} else {
 		r.outages.current.Deferred++
 	}
@@ -277,8 +296,12 @@
 	if err == nil {
 		err = noPath()
 	}
-	if !r.selector.ReadsStore() && isSilent(err) {
+	switch {
+	case r.selector.ReadsStore():
+	case isWatchError(err, watch.Silent):
 		clock.Sleep(ctx, reconnectDelay)
+	case isWatchError(err, watch.Recovered) && !r.selector.IsScout():
+		clock.Sleep(ctx, recoveryDelay)
 	}
 	return nil, after, err
 }
@@ -289,7 +312,7 @@
 	if r.selector.ReadsStore() {
 		return true
 	}
-	if r.cache.isRelayed() && r.time().Sub(r.storeFailedAt) < storeRetryInterval {
+	if r.cache.isRelayed() && r.storeRecoveredAt.IsZero() && r.time().Sub(r.storeFailedAt) < storeRetryInterval {
 		return false
 	}
 	return r.mayCallStore(responded)
@@ -301,7 +324,7 @@
 		wait = min(wait, minStoreWait<<min(r.storeReads, maxStoreDoublings))
 		r.storeReads++
 	}
-	r.storeCalledAt = r.time()
+	r.storeCalledAt, r.storeRecoveredAt = r.time(), time.Time{}
 	changes, version, err := r.source.Changes(ctx, after, wait)
 	if err != nil {
 		if !storeAnswered(err) {
@@ -310,7 +333,7 @@
 		return nil, after, err
 	}
 	r.cache.Apply(changes, version)
-	r.pathLostAt = time.Time{}
+	r.recordPath()
 	r.lastDetour = Detour{}
 	r.recordAnswer(nil)
 	return changes, version, nil
--- a/serve/mirror/regained_test.go
+++ b/serve/mirror/regained_test.go
@@ -127,6 +127,7 @@
 					longest, cutLasted = took, lasts
 				}
 			}
+			t.Logf("the change was read at most %v after a cut", longest)
 			if longest > applyWithin {
 				t.Errorf("the change was read %v after a cut of %v, allowed: %v", longest, cutLasted, applyWithin)
 			}
--- a/serve/watch/error.go
+++ b/serve/watch/error.go
@@ -10,6 +10,9 @@
 	// Silent means that the store did not respond to a probe. A call in progress was
 	// cancelled and a new one was not made.
 	Silent Kind = "silent"
+	// Recovered means that the store responds again after it was silent. The call was not
+	// made and can be repeated at once.
+	Recovered Kind = "recovered"
 	// Behind means that a watch did not return changes that the store has.
 	Behind Kind = "behind"
 )
--- a/serve/watch/prober.go
+++ b/serve/watch/prober.go
@@ -219,7 +219,7 @@
 	for {
 		updated, lastErr := p.state()
 		if lastErr == nil {
-			return &Error{"await", Silent, firstErr}
+			return &Error{"await", Recovered, firstErr}
 		}
 		select {
 		case <-updated:
