peer: a link to a new VM replaces an idle one

A VM keeps at most 64 links, and a link stays for a minute after its last use.

Cause: a limit by number that is smaller than the deployment, and that is held by links that nobody uses. At the limit the link that was not used for the longest time is closed now; only links with messages or calls in progress count.

--- a/serve/peer/peer.go
+++ b/serve/peer/peer.go
@@ -32,7 +32,8 @@
 	dialTimeout = 2 * time.Second
 	sendTimeout = 2 * time.Second
 	idleTimeout = time.Minute
-	// maxPeers is the number of VMs with a link at the same time.
+	// maxPeers is the number of VMs with a link at the same time. A new link replaces the
+	// one that was not used for the longest time.
 	maxPeers = 64
 	// maxWorkers is the number of goroutines of one Transport.
 	maxWorkers = 1024
@@ -113,6 +114,12 @@
 	vm      ident.VMID
 	address string
 	queue   chan queueItem
+	// close ends sendLoop.
+	close context.CancelFunc
+	// pending counts the messages and calls that are queued or in progress.
+	pending atomic.Int64
+	// usedAt is when a message or call was last queued. It is guarded by Transport.mu.
+	usedAt time.Time
 	// respondedAt is when the VM last responded to a call; nil if it never did.
 	respondedAt atomic.Pointer[time.Time]
 }
@@ -225,7 +232,7 @@
 
 // enqueue adds an item to the queue of a VM's link. It starts a new link when
 // there is none or the address has changed. It returns an error when the queue is
-// full, when there are maxPeers links already or when the Transport is closed.
+// full, when maxPeers other links are in use or when the Transport is closed.
 func (t *Transport) enqueue(vm ident.VMID, address string, item queueItem) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -234,27 +241,52 @@
 	}
 	l := t.links[vm]
 	if l == nil || l.address != address {
-		if len(t.links) >= maxPeers {
+		if len(t.links) >= maxPeers && !t.closeIdleLink() {
 			t.refused.Add(1)
 			return &Error{"queue", Busy, fmt.Errorf("%s: %d links to other VMs are in use", vm, len(t.links))}
 		}
 		l = &link{vm: vm, address: address, queue: make(chan queueItem, queueLength)}
+		var ctx context.Context
+		ctx, l.close = context.WithCancel(t.ctx)
 		t.links[vm] = l
-		if !t.workers.Go(t.ctx, func(ctx context.Context) { t.sendLoop(ctx, l) }) {
+		if !t.workers.Go(ctx, func(ctx context.Context) { t.sendLoop(ctx, l) }) {
+			l.close()
 			return &Error{"queue", Unreachable, t.ctx.Err()}
 		}
 	}
+	l.usedAt = time.Now()
+	l.pending.Add(1)
 	select {
 	case l.queue <- item:
 		return nil
 	default:
+		l.pending.Add(-1)
 		return &Error{"queue", Busy, fmt.Errorf("%s: %d messages and calls wait", vm, len(l.queue))}
 	}
 }
 
+// closeIdleLink closes the link that was not used for the longest time, among those on
+// which no message or call is in progress, and returns false if there is none. The lock
+// must be held.
+func (t *Transport) closeIdleLink() bool {
+	var oldest *link
+	for _, l := range t.links {
+		if l.pending.Load() == 0 && (oldest == nil || l.usedAt.Before(oldest.usedAt)) {
+			oldest = l
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(t.links, oldest.vm)
+	oldest.close()
+	return true
+}
+
 // sendLoop sends the queued messages and calls of a link until the queue has
 // been empty for idleTimeout.
 func (t *Transport) sendLoop(ctx context.Context, l *link) {
+	defer l.close()
 	var conn *quic.Conn
 	defer func() {
 		if conn != nil {
@@ -305,11 +337,13 @@
 			if item.response != nil {
 				item.response <- callResult{err: &Error{"call", Unreachable, err}}
 			}
+			l.pending.Add(-1)
 			return nil
 		}
 	}
 	if item.response != nil {
 		t.workers.Go(t.ctx, func(ctx context.Context) {
+			defer l.pending.Add(-1)
 			body, err := t.roundTrip(ctx, conn, item.body)
 			if err == nil {
 				now := time.Now()
@@ -319,6 +353,7 @@
 		})
 		return conn
 	}
+	defer l.pending.Add(-1)
 	if err := t.writeMessage(conn, item.body); err != nil {
 		t.dropped.Add(1)
 	}
