peer: replace a connection on which a VM is silent

Questions to a VM that was killed and was back at the same address timed out for up to a minute, over the old connection, which the new process ignores. After a kill of several VMs the others lost 1.5 s each time they tried one of them again, and reported themselves as disconnected meanwhile.

Cause: a connection was replaced only once it was closed, and QUIC closes a silent one after the idle timeout of a minute. A call that had failed stayed in progress until then.

A connection that received nothing, not even an acknowledgement, for 500 ms while a call waited or had failed is closed before the next item is sent. A call ends with its caller, and one whose caller has given up in the queue is not sent. TestRestartedVMIsReachedAgain: the second call after a restart failed before (5 s allowed). The test no longer closes a transport twice.

--- a/serve/peer/link_test.go
+++ b/serve/peer/link_test.go
@@ -111,13 +111,18 @@
 	keys := issue(t, a, folder, "entry-1")
 	r := newRelay(t)
 	address := r.conn.LocalAddr().String()
-	killed, _ := listen(t, keys)
+	killed, err := peer.Listen("127.0.0.1:0", keys, inbox(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
 	r.connect(t, killed)
 	if err := callWithin(caller, 10*time.Second, "entry-1", address); err != nil {
 		t.Fatal(err)
 	}
 	r.connect(t, nil)
-	_ = killed.Close()
+	if err := killed.Close(); err != nil {
+		t.Fatal(err)
+	}
 	restarted, _ := listen(t, keys)
 	r.connect(t, restarted)
 	// The first call finds that the connection is dead.
--- a/serve/peer/peer.go
+++ b/serve/peer/peer.go
@@ -101,6 +101,8 @@
 	body []byte
 	// response receives the result of a call; nil for a message.
 	response chan callResult
+	// ctx is done when nobody waits for the response; nil for a message.
+	ctx context.Context
 }
 
 type callResult struct {
@@ -202,7 +204,7 @@
 // Call sends a request to a VM and waits for the response.
 func (t *Transport) Call(ctx context.Context, vm ident.VMID, address string, body []byte) ([]byte, error) {
 	response := make(chan callResult, 1)
-	if err := t.enqueue(vm, address, queueItem{body, response}); err != nil {
+	if err := t.enqueue(vm, address, queueItem{body: body, response: response, ctx: ctx}); err != nil {
 		return nil, err
 	}
 	select {
@@ -287,7 +289,7 @@
 // been empty for idleTimeout.
 func (t *Transport) sendLoop(ctx context.Context, l *link) {
 	defer l.close()
-	var conn *quic.Conn
+	var conn *connection
 	defer func() {
 		if conn != nil {
 			// If the close is lost, the peer's idle timeout ends the connection.
@@ -329,10 +331,15 @@
 // deliver sends an item over conn, or over a new connection when conn is nil or
 // closed. It returns the connection for the next item, or nil when the dial
 // failed. A call runs in its own goroutine.
-func (t *Transport) deliver(conn *quic.Conn, l *link, item queueItem) *quic.Conn {
-	var err error
-	if conn == nil || conn.Context().Err() != nil {
-		if conn, err = t.dial(l); err != nil {
+func (t *Transport) deliver(conn *connection, l *link, item queueItem) *connection {
+	if item.ctx != nil && item.ctx.Err() != nil {
+		// The caller has given up while other items were sent.
+		l.pending.Add(-1)
+		return conn
+	}
+	if conn == nil || !conn.usable(time.Now()) {
+		dialled, err := t.dial(l)
+		if err != nil {
 			t.dropped.Add(1)
 			if item.response != nil {
 				item.response <- callResult{err: &Error{"call", Unreachable, err}}
@@ -340,26 +347,38 @@
 			l.pending.Add(-1)
 			return nil
 		}
+		conn = &connection{Conn: dialled}
 	}
 	if item.response != nil {
 		t.workers.Go(t.ctx, func(ctx context.Context) {
 			defer l.pending.Add(-1)
-			body, err := t.roundTrip(ctx, conn, item.body)
-			if err == nil {
-				now := time.Now()
-				l.respondedAt.Store(&now)
-			}
-			item.response <- callResult{body, err}
+			t.call(ctx, conn, l, item)
 		})
 		return conn
 	}
 	defer l.pending.Add(-1)
-	if err := t.writeMessage(conn, item.body); err != nil {
+	if err := t.writeMessage(conn.Conn, item.body); err != nil {
 		t.dropped.Add(1)
 	}
 	return conn
 }
 
+// call sends the request of a call and passes on the response, until the caller gives up or
+// ctx is done.
+func (t *Transport) call(ctx context.Context, conn *connection, l *link, item queueItem) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(item.ctx, cancel)()
+	conn.begin(time.Now())
+	body, err := t.roundTrip(ctx, conn.Conn, item.body)
+	if err == nil {
+		now := time.Now()
+		l.respondedAt.Store(&now)
+	}
+	conn.end(err == nil)
+	item.response <- callResult{body, err}
+}
+
 func (t *Transport) dial(l *link) (*quic.Conn, error) {
 	tlsConfig, err := t.identity.clientConfig(string(l.vm))
 	if err != nil {
@@ -390,13 +409,18 @@
 	return stream.Close()
 }
 
-// roundTrip sends the request of a call on a new stream and reads the response.
+// roundTrip sends the request of a call on a new stream and reads the response, until ctx
+// is done.
 func (t *Transport) roundTrip(ctx context.Context, conn *quic.Conn, body []byte) ([]byte, error) {
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, &Error{"call", Unreachable, err}
 	}
 	defer stream.CancelRead(closeCode)
+	defer context.AfterFunc(ctx, func() {
+		stream.CancelRead(closeCode)
+		stream.CancelWrite(closeCode)
+	})()
 	if _, err := stream.Write(body); err != nil {
 		return nil, &Error{"call", Unreachable, err}
 	}
