platform, mirror: get past versions that are too large for one answer

Cause: an error that a repetition cannot mend was retried as if it would pass. The answer of the watch, with all versions since, exceeded the limit of 8 MiB, and the same watch was made again. Probes of the store failed for the same reason and cancelled the watches of all other kinds. VMs that read through others had the same fault at 2 MiB.

An answer between VMs holds the newest version of each object only.

--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -262,14 +262,26 @@
 	return a
 }
 
-// changesAfter returns the kept changes after a version. The lock must be held.
+// changesAfter returns the kept changes after a version, without those of objects that a
+// later batch changes again: an answer must not grow with the number of versions. The lock
+// must be held.
 func (c *Cache[T]) changesAfter(version platform.StoreVersion) []platform.Change[T] {
 	var out []platform.Change[T]
-	for _, stored := range c.batches {
-		if stored.version > version {
-			out = append(out, stored.changes...)
+	changedLater := map[string]bool{}
+	for _, stored := range slices.Backward(c.batches) {
+		if stored.version <= version {
+			break
+		}
+		for _, change := range slices.Backward(stored.changes) {
+			if !changedLater[change.Name] {
+				out = append(out, change)
+			}
+		}
+		for _, change := range stored.changes {
+			changedLater[change.Name] = true
 		}
 	}
+	slices.Reverse(out)
 	return out
 }
 
--- a/serve/mirror/history_test.go
+++ b/serve/mirror/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -113,6 +114,24 @@
 	}
 }
 
+// TestAnswerHoldsTheNewestVersionOnly guards against answers that exceed the limit of a
+// message, and so are never read, after many versions of a large object.
+func TestAnswerHoldsTheNewestVersionOnly(t *testing.T) {
+	cache := &mirror.Cache[string]{}
+	cache.SetListing(platform.Listing[string]{Version: 1})
+	cache.Apply([]platform.Change[string]{{Name: "a", Value: "2"}, {Name: "b", Value: "2"}}, 2)
+	cache.Apply([]platform.Change[string]{{Name: "a", Value: "3"}}, 3)
+	cache.Apply([]platform.Change[string]{{Name: "a", Value: "4"}, {Name: "c", Value: "4"}}, 4)
+	got := cache.Changes(context.Background(), 1, 0)
+	want := []platform.Change[string]{{Name: "b", Value: "2"}, {Name: "a", Value: "4"}, {Name: "c", Value: "4"}}
+	if got.Version != 4 || !slices.Equal(got.Changes, want) {
+		t.Errorf("got %v at version %d, expected %v at version 4", got.Changes, got.Version, want)
+	}
+	if got = cache.Changes(context.Background(), 3, 0); !slices.Equal(got.Changes, want[1:]) {
+		t.Errorf("got %v after version 3, expected %v", got.Changes, want[1:])
+	}
+}
+
 var ignoreAll = watch.Handler[string]{
 	Listed:  func(context.Context, []platform.Change[string]) {},
 	Changed: func(context.Context, []platform.Change[string]) {},
