mirror: show how old the objects of a VM are

Logs could not distinguish answers that are out of date from ones that are not: path-regained said 0.6 to 3.2 s on VMs that were 7 s late. Answers of mirrors now carry when the store last confirmed the objects, relative to the arrival of the question. A VM that reads the store counts a probe that the store answers while its watch waits. The clock includes time in which the VM stood still. The age is in path-regained and in the metric mirrors, and decides nothing yet.

--- a/serve/mirror/ask.go
+++ b/serve/mirror/ask.go
@@ -26,17 +26,17 @@
 
 // askListing asks a mirror for all objects. It rejects the answer of a mirror that is
 // behind this VM: its objects include some that were removed since.
-func (r *Reader[T]) askListing(ctx context.Context, m Member, q Question) (platform.Listing[T], []ident.VMID, askResult) {
-	a, result := r.ask(ctx, m, q)
+func (r *Reader[T]) askListing(ctx context.Context, m Member, q Question) (platform.Listing[T], Origin, askResult) {
+	a, origin, result := r.ask(ctx, m, q)
 	if result != accepted {
-		return platform.Listing[T]{}, nil, result
+		return platform.Listing[T]{}, Origin{}, result
 	}
 	if a.Version < r.cache.Version() {
 		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
-		return platform.Listing[T]{}, nil, behind
+		return platform.Listing[T]{}, Origin{}, behind
 	}
 	present := slices.DeleteFunc(a.Changes, func(c platform.Change[T]) bool { return c.Deleted })
-	return platform.Listing[T]{Items: present, Version: a.Version}, a.Path, accepted
+	return platform.Listing[T]{Items: present, Version: a.Version}, origin, accepted
 }
 
 // relay returns the VM through which this VM last read without being its mirror, or "".
@@ -49,16 +49,16 @@
 
 // askMirrors asks the mirrors in turn until one answers. It returns how many were asked and
 // how many of them responded. Only one silent mirror is waited for.
-func (r *Reader[T]) askMirrors(ctx context.Context, after platform.StoreVersion, wait time.Duration) (a Answer[T], ok bool, asked, responded int) {
+func (r *Reader[T]) askMirrors(ctx context.Context, after platform.StoreVersion, wait time.Duration) (a Answer[T], origin Origin, ok bool, asked, responded int) {
 	wait = min(wait, maxMirrorWait)
 	for _, m := range r.selector.Mirrors(r.time()) {
-		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: wait})
+		a, origin, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: wait})
 		asked++
 		if result != silent {
 			responded++
 		}
 		if result == accepted {
-			return a, true, asked, responded
+			return a, origin, true, asked, responded
 		}
 		if !r.cache.fromStore() {
 			// Until another mirror or the store answers, this VM is disconnected too.
@@ -72,14 +72,14 @@
 			}
 		}
 	}
-	return Answer[T]{}, false, asked, responded
+	return Answer[T]{}, Origin{}, false, asked, responded
 }
 
 // askOthers asks VMs that are not mirrors of this one. Only one silent VM is waited for.
 func (r *Reader[T]) askOthers(ctx context.Context, after platform.StoreVersion, wait time.Duration) (Answer[T], bool) {
 	wait = min(wait, maxMirrorWait)
 	for _, m := range r.selector.Others(r.time(), r.relay()) {
-		a, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: wait, Disconnected: true})
+		a, origin, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: wait, Disconnected: true})
 		if result == silent {
 			wait = 0
 		}
@@ -87,7 +87,7 @@
 			continue
 		}
 		if a.Outcome == OK {
-			r.cache.ApplyWhileDisconnected(a.Changes, a.Version, a.Path...)
+			r.cache.ApplyWhileDisconnected(a.Changes, a.Version, origin)
 		}
 		return a, true
 	}
@@ -125,10 +125,12 @@
 
 // ask sends a question to a mirror. If the mirror fails or is disconnected, ask excludes
 // it for some time.
-func (r *Reader[T]) ask(ctx context.Context, m Member, q Question) (Answer[T], askResult) {
+func (r *Reader[T]) ask(ctx context.Context, m Member, q Question) (Answer[T], Origin, askResult) {
+	asked := r.time()
 	a, result := r.askOnce(ctx, m, q)
 	r.outages.countQuestion(result)
-	return a, result
+	// The question arrived later than it was asked, so this is a lower bound.
+	return a, Origin{a.Path, asked.Add(a.Confirmed)}, result
 }
 
 func (r *Reader[T]) askOnce(ctx context.Context, m Member, q Question) (Answer[T], askResult) {
@@ -148,7 +150,10 @@
 		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
 		return Answer[T]{}, rejected
 	}
-	a := Answer[T]{Outcome: received.Outcome, Version: received.Version, Path: path, Changes: make([]platform.Change[T], 0, len(received.Changes))}
+	a := Answer[T]{
+		Outcome: received.Outcome, Version: received.Version, Path: path, Confirmed: received.Confirmed,
+		Changes: make([]platform.Change[T], 0, len(received.Changes)),
+	}
 	for _, c := range received.Changes {
 		decoded := platform.Change[T]{Name: c.Name, Deleted: c.Deleted}
 		if !c.Deleted {
--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -58,6 +58,9 @@
 	// path holds the VMs through which the last successful read came, nearest first;
 	// none if it came from the store.
 	path []ident.VMID
+	// confirmedAt is the latest time at which the store is known to have had no other
+	// objects; zero if nothing was read yet. It never decreases.
+	confirmedAt time.Time
 	// disconnectedAt is when connected became false.
 	disconnectedAt time.Time
 	// updated signals a change of the objects or of connected.
@@ -88,18 +91,18 @@
 	return fmt.Sprint(c.version, c.base, len(c.batches), c.connected, c.relayed, c.path, inGrace)
 }
 
-// SetListing replaces all objects by a listing that came through the VMs of path, unless
-// the cache holds a newer version. It drops the kept changes.
-func (c *Cache[T]) SetListing(l platform.Listing[T], path ...ident.VMID) {
-	c.setListing(l, true, path)
+// SetListing replaces all objects by a listing, unless the cache holds a newer version. It
+// drops the kept changes.
+func (c *Cache[T]) SetListing(l platform.Listing[T], origin Origin) {
+	c.setListing(l, true, origin)
 }
 
 // SetListingWhileDisconnected is SetListing for a listing from a VM that is no mirror.
-func (c *Cache[T]) SetListingWhileDisconnected(l platform.Listing[T], path ...ident.VMID) {
-	c.setListing(l, false, path)
+func (c *Cache[T]) SetListingWhileDisconnected(l platform.Listing[T], origin Origin) {
+	c.setListing(l, false, origin)
 }
 
-func (c *Cache[T]) setListing(l platform.Listing[T], connected bool, path []ident.VMID) {
+func (c *Cache[T]) setListing(l platform.Listing[T], connected bool, origin Origin) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if l.Version < c.version {
@@ -110,23 +113,50 @@
 		c.objects[i.Name] = i.Value
 	}
 	c.version, c.base, c.batches = l.Version, l.Version, nil
-	c.connected, c.relayed, c.path = connected, !connected, path
+	c.connected, c.relayed, c.path = connected, !connected, origin.Path
+	c.confirm(origin.ConfirmedAt)
 	c.updated.Broadcast()
 }
 
-// Apply applies the changes up to a version, which came through the VMs of path, and
-// marks the cache as connected.
-func (c *Cache[T]) Apply(changes []platform.Change[T], version platform.StoreVersion, path ...ident.VMID) {
+// Apply applies the changes up to a version and marks the cache as connected.
+func (c *Cache[T]) Apply(changes []platform.Change[T], version platform.StoreVersion, origin Origin) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wasConnected := c.connected
-	c.connected, c.relayed, c.path = true, false, path
+	c.connected, c.relayed, c.path = true, false, origin.Path
 	c.apply(changes, version)
-	if !wasConnected || len(changes) > 0 {
+	if c.confirm(origin.ConfirmedAt) || !wasConnected || len(changes) > 0 {
 		c.updated.Broadcast()
 	}
 }
 
+// ConfirmFromStore records that the store had no other objects at a time, if this VM reads
+// the store itself.
+func (c *Cache[T]) ConfirmFromStore(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connected && len(c.path) == 0 && c.confirm(at) {
+		c.updated.Broadcast()
+	}
+}
+
+// confirm advances confirmedAt and reports whether it did. The lock must be held.
+func (c *Cache[T]) confirm(at time.Time) bool {
+	if !at.After(c.confirmedAt) {
+		return false
+	}
+	c.confirmedAt = at
+	return true
+}
+
+// ConfirmedAt returns the latest time at which the store is known to have had no other
+// objects; zero if nothing was read yet.
+func (c *Cache[T]) ConfirmedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmedAt
+}
+
 // apply applies the changes up to a version, unless the cache already holds that
 // version. The lock must be held.
 func (c *Cache[T]) apply(changes []platform.Change[T], version platform.StoreVersion) {
@@ -154,17 +184,28 @@
 // ApplyWhileDisconnected applies changes that this VM read from one that is not its
 // mirror. The cache stays disconnected for the VMs whose mirror this one is, so that the
 // tree of mirrors heals; other disconnected VMs may read from it.
-func (c *Cache[T]) ApplyWhileDisconnected(changes []platform.Change[T], version platform.StoreVersion, path ...ident.VMID) {
+func (c *Cache[T]) ApplyWhileDisconnected(changes []platform.Change[T], version platform.StoreVersion, origin Origin) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changed := !c.relayed || len(changes) > 0
-	c.relayed, c.path = true, path
+	c.relayed, c.path = true, origin.Path
 	c.apply(changes, version)
-	if changed {
+	if c.confirm(origin.ConfirmedAt) || changed {
 		c.updated.Broadcast()
 	}
 }
 
+// freshness describes the objects at a time.
+func (c *Cache[T]) freshness(now time.Time) Freshness {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := Freshness{Version: c.version, Age: -1, Path: c.path}
+	if !c.confirmedAt.IsZero() {
+		f.Age = now.Sub(c.confirmedAt)
+	}
+	return f
+}
+
 // MarkDisconnected records that neither a mirror nor the store could be read.
 func (c *Cache[T]) MarkDisconnected() {
 	c.mu.Lock()
@@ -219,10 +260,11 @@
 // otherwise with the changes after that version as soon as there are any, or none if there
 // are none within wait.
 func (c *Cache[T]) relay(ctx context.Context, after platform.StoreVersion, wait time.Duration) Answer[T] {
+	arrived := c.time()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		a, updated := c.relayNow(after)
+		a, updated := c.relayNow(after, arrived)
 		if a.Outcome != OK || after == 0 || len(a.Changes) > 0 || wait <= 0 {
 			return a
 		}
@@ -238,7 +280,7 @@
 
 // relayNow is relay without a wait. It also returns a channel that is closed at the next
 // update.
-func (c *Cache[T]) relayNow(after platform.StoreVersion) (Answer[T], <-chan struct{}) {
+func (c *Cache[T]) relayNow(after platform.StoreVersion, arrived time.Time) (Answer[T], <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	updated := c.updated.Next()
@@ -246,16 +288,20 @@
 	case !c.connected && !c.relayed:
 		return Answer[T]{Outcome: Disconnected}, updated
 	case after == 0:
-		return c.allObjects(), updated
+		return c.allObjects(arrived), updated
 	case after < c.base:
 		return Answer[T]{Outcome: Compacted}, updated
 	}
-	return Answer[T]{Outcome: OK, Version: max(after, c.version), Changes: c.changesAfter(after), Path: c.path}, updated
+	return Answer[T]{
+		Outcome: OK, Version: max(after, c.version), Changes: c.changesAfter(after), Path: c.path,
+		Confirmed: c.confirmedAt.Sub(arrived),
+	}, updated
 }
 
-// allObjects returns an answer with all objects. The lock must be held.
-func (c *Cache[T]) allObjects() Answer[T] {
-	a := Answer[T]{Outcome: OK, Version: c.version, Path: c.path}
+// allObjects returns an answer with all objects to a question that arrived at a time. The
+// lock must be held.
+func (c *Cache[T]) allObjects(arrived time.Time) Answer[T] {
+	a := Answer[T]{Outcome: OK, Version: c.version, Path: c.path, Confirmed: c.confirmedAt.Sub(arrived)}
 	for name, v := range c.objects {
 		a.Changes = append(a.Changes, platform.Change[T]{Name: name, Value: v})
 	}
@@ -293,15 +339,28 @@
 	Changes []platform.Change[T]
 	// Path holds the VMs through which the mirror read the store, nearest first.
 	Path []ident.VMID
+	// Confirmed is when the store last confirmed the objects, relative to the arrival of the
+	// question; negative if before it.
+	Confirmed time.Duration
+}
+
+// An Origin describes where objects or changes came from.
+type Origin struct {
+	// Path holds the VMs through which they came, nearest first; none if they came from the
+	// store.
+	Path []ident.VMID
+	// ConfirmedAt is the latest time at which the store is known to have had no others.
+	ConfirmedAt time.Time
 }
 
 // List returns all objects. If nothing was read yet, it waits for the first listing,
 // since VMs that start together ask a mirror before it has read the store.
 func (c *Cache[T]) List(ctx context.Context, wait time.Duration) Answer[T] {
+	arrived := c.time()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		a, updated := c.list()
+		a, updated := c.list(arrived)
 		if updated == nil {
 			return a
 		}
@@ -317,7 +376,7 @@
 
 // list returns all objects or, if nothing was read yet, a channel that is closed at the
 // next update.
-func (c *Cache[T]) list() (Answer[T], <-chan struct{}) {
+func (c *Cache[T]) list(arrived time.Time) (Answer[T], <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.connected {
@@ -326,17 +385,18 @@
 		}
 		return Answer[T]{Outcome: Disconnected}, c.updated.Next()
 	}
-	return c.allObjects(), nil
+	return c.allObjects(arrived), nil
 }
 
 // Changes returns the changes after a version as soon as there are any, or none if there
 // are none within wait. It returns Disconnected once the cache has been disconnected for
 // disconnectGrace.
 func (c *Cache[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) Answer[T] {
+	arrived := c.time()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		a, updated, disconnectedFor := c.changesSince(after)
+		a, updated, disconnectedFor := c.changesSince(after, arrived)
 		if a.Outcome == Compacted || len(a.Changes) > 0 || (a.Outcome == OK && wait <= 0) {
 			return a
 		}
@@ -360,10 +420,10 @@
 
 // changesSince returns the changes after a version, a channel that is closed at the next
 // update, and the time since the cache last became disconnected.
-func (c *Cache[T]) changesSince(after platform.StoreVersion) (Answer[T], <-chan struct{}, time.Duration) {
+func (c *Cache[T]) changesSince(after platform.StoreVersion, arrived time.Time) (Answer[T], <-chan struct{}, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a := Answer[T]{Outcome: OK, Version: max(after, c.version), Path: c.path}
+	a := Answer[T]{Outcome: OK, Version: max(after, c.version), Path: c.path, Confirmed: c.confirmedAt.Sub(arrived)}
 	switch {
 	case !c.connected:
 		a.Outcome = Disconnected
--- a/serve/mirror/history_test.go
+++ b/serve/mirror/history_test.go
@@ -118,10 +118,10 @@
 // message, and so are never read, after many versions of a large object.
 func TestAnswerHoldsTheNewestVersionOnly(t *testing.T) {
 	cache := &mirror.Cache[string]{}
-	cache.SetListing(platform.Listing[string]{Version: 1})
-	cache.Apply([]platform.Change[string]{{Name: "a", Value: "2"}, {Name: "b", Value: "2"}}, 2)
-	cache.Apply([]platform.Change[string]{{Name: "a", Value: "3"}}, 3)
-	cache.Apply([]platform.Change[string]{{Name: "a", Value: "4"}, {Name: "c", Value: "4"}}, 4)
+	cache.SetListing(platform.Listing[string]{Version: 1}, mirror.Origin{})
+	cache.Apply([]platform.Change[string]{{Name: "a", Value: "2"}, {Name: "b", Value: "2"}}, 2, mirror.Origin{})
+	cache.Apply([]platform.Change[string]{{Name: "a", Value: "3"}}, 3, mirror.Origin{})
+	cache.Apply([]platform.Change[string]{{Name: "a", Value: "4"}, {Name: "c", Value: "4"}}, 4, mirror.Origin{})
 	got := cache.Changes(context.Background(), 1, 0)
 	want := []platform.Change[string]{{Name: "b", Value: "2"}, {Name: "a", Value: "4"}, {Name: "c", Value: "4"}}
 	if got.Version != 4 || !slices.Equal(got.Changes, want) {
--- a/serve/mirror/message.go
+++ b/serve/mirror/message.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -25,7 +26,11 @@
 
 // MarshalAnswer encodes a mirror's answer.
 func MarshalAnswer(a Answer[[]byte]) ([]byte, error) {
-	m := &schema.MirrorAnswer{Outcome: string(a.Outcome), Version: uint64(a.Version)}
+	m := &schema.MirrorAnswer{
+		Outcome: string(a.Outcome), Version: uint64(a.Version),
+		// Rounded down, so that the objects do not look younger.
+		ConfirmedMs: int64(math.Floor(float64(a.Confirmed) / float64(time.Millisecond))),
+	}
 	for _, vm := range a.Path {
 		m.Path = append(m.Path, string(vm))
 	}
@@ -41,7 +46,10 @@
 	if err := proto.Unmarshal(b, &m); err != nil {
 		return Answer[[]byte]{}, err
 	}
-	a := Answer[[]byte]{Outcome: Outcome(m.Outcome), Version: platform.StoreVersion(m.Version)}
+	a := Answer[[]byte]{
+		Outcome: Outcome(m.Outcome), Version: platform.StoreVersion(m.Version),
+		Confirmed: time.Duration(m.ConfirmedMs) * time.Millisecond,
+	}
 	for _, vm := range m.Path {
 		a.Path = append(a.Path, ident.VMID(vm))
 	}
--- a/serve/mirror/mirror_test.go
+++ b/serve/mirror/mirror_test.go
@@ -435,14 +435,14 @@
 func TestMirrorReconnectsWithinGracePeriod(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cache := &mirror.Cache[string]{}
-		cache.SetListing(platform.Listing[string]{Version: 1})
+		cache.SetListing(platform.Listing[string]{Version: 1}, mirror.Origin{})
 		answers := make(chan mirror.Answer[string], 1)
 		ask := func() { answers <- cache.Changes(context.Background(), 1, time.Second) }
 		go ask()
 		time.Sleep(600 * time.Millisecond)
 		cache.MarkDisconnected()
 		time.Sleep(50 * time.Millisecond)
-		cache.Apply(nil, 2)
+		cache.Apply(nil, 2, mirror.Origin{})
 		if a := <-answers; a.Outcome != mirror.OK || a.Version != 2 {
 			t.Fatalf("received %v", a)
 		}
--- a/serve/mirror/outage.go
+++ b/serve/mirror/outage.go
@@ -12,6 +12,8 @@
 	Kind string
 	// Lasted is the time from the start of the first read that failed until an answer.
 	Lasted time.Duration
+	// Age is the age of the objects that the answer led to.
+	Age time.Duration
 	// Silent counts the questions to other VMs that were not answered, and Rejected those
 	// whose answer could not be used.
 	Silent, Rejected int
@@ -62,7 +64,7 @@
 // recordAnswer records that a read was answered through the VMs of path.
 func (r *Reader[T]) recordAnswer(path []ident.VMID) {
 	if o, ok := r.outages.end(r.time(), path); ok && r.OutageEnded != nil {
-		o.Kind = r.Kind()
+		o.Kind, o.Age = r.Kind(), r.cache.freshness(r.time()).Age
 		r.OutageEnded(o)
 	}
 }
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -157,6 +157,25 @@
 // Kind returns the kind of the objects.
 func (r *Reader[T]) Kind() string { return r.source.Kind() }
 
+// Confirm records that the store had no other objects at a time, if this VM reads the store
+// itself. It may be called from several goroutines.
+func (r *Reader[T]) Confirm(at time.Time) { r.cache.ConfirmFromStore(at) }
+
+// Freshness describes the objects that a Reader holds.
+type Freshness struct {
+	Version platform.StoreVersion
+	// Age is the time since the store is known to have had no other objects; negative
+	// without any objects.
+	Age time.Duration
+	// Path holds the VMs through which the objects came, nearest first; none if they came
+	// from the store.
+	Path []ident.VMID
+}
+
+// Freshness describes the objects that the reader holds. It may be called from several
+// goroutines.
+func (r *Reader[T]) Freshness() Freshness { return r.cache.freshness(r.time()) }
+
 // State describes what the reader would answer and whom it would ask at a time, for
 // comparisons in tests.
 func (r *Reader[T]) State(now time.Time) string {
@@ -173,20 +192,21 @@
 	question := Question{Kind: r.Kind(), Wait: r.InitialListWait}
 	responded, isBehind := r.selector.HasDisconnectedMirror(r.time()), false
 	for _, m := range r.selector.Mirrors(r.time()) {
-		l, path, result := r.askListing(ctx, m, question)
+		l, origin, result := r.askListing(ctx, m, question)
 		if result == accepted {
-			r.cache.SetListing(l, path...)
+			r.cache.SetListing(l, origin)
 			r.recordPath()
-			r.recordAnswer(path)
+			r.recordAnswer(origin.Path)
 			return l, nil
 		}
 		responded = responded || result == rejected
 		isBehind = isBehind || result == behind
 	}
 	// The store is known to be ahead of a mirror that is behind.
+	calledAt := r.time()
 	l, err := r.listStore(ctx, responded && !isBehind)
 	if err == nil {
-		r.cache.SetListing(l)
+		r.cache.SetListing(l, Origin{ConfirmedAt: calledAt})
 		r.recordPath()
 		r.recordAnswer(nil)
 		return l, nil
@@ -194,9 +214,9 @@
 	r.cache.MarkDisconnected()
 	question = Question{Kind: r.Kind(), Disconnected: true}
 	for _, m := range r.selector.Others(r.time(), r.relay()) {
-		if l, path, result := r.askListing(ctx, m, question); result == accepted {
-			r.cache.SetListingWhileDisconnected(l, path...)
-			r.recordAnswer(path)
+		if l, origin, result := r.askListing(ctx, m, question); result == accepted {
+			r.cache.SetListingWhileDisconnected(l, origin)
+			r.recordAnswer(origin.Path)
 			return l, nil
 		}
 	}
@@ -255,14 +275,14 @@
 // wait.
 func (r *Reader[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) (changes []platform.Change[T], version platform.StoreVersion, err error) {
 	began := r.time()
-	a, ok, asked, responded := r.askMirrors(ctx, after, wait)
+	a, origin, ok, asked, responded := r.askMirrors(ctx, after, wait)
 	if ok {
 		r.storeReads = 0
 		r.recordPath()
 		if a.Outcome == Compacted {
 			return nil, after, compacted()
 		}
-		r.cache.Apply(a.Changes, a.Version, a.Path...)
+		r.cache.Apply(a.Changes, a.Version, origin)
 		r.lastDetour = Detour{}
 		r.recordAnswer(a.Path)
 		return a.Changes, a.Version, nil
@@ -324,7 +344,8 @@
 		wait = min(wait, minStoreWait<<min(r.storeReads, maxStoreDoublings))
 		r.storeReads++
 	}
-	r.storeCalledAt, r.storeRecoveredAt = r.time(), time.Time{}
+	calledAt := r.time()
+	r.storeCalledAt, r.storeRecoveredAt = calledAt, time.Time{}
 	changes, version, err := r.source.Changes(ctx, after, wait)
 	if err != nil {
 		if !storeAnswered(err) {
@@ -332,7 +353,7 @@
 		}
 		return nil, after, err
 	}
-	r.cache.Apply(changes, version)
+	r.cache.Apply(changes, version, Origin{ConfirmedAt: calledAt})
 	r.recordPath()
 	r.lastDetour = Detour{}
 	r.recordAnswer(nil)
@@ -351,7 +372,7 @@
 	default:
 		a = r.cache.List(ctx, wait)
 	}
-	out := Answer[[]byte]{Outcome: a.Outcome, Version: a.Version, Path: a.Path}
+	out := Answer[[]byte]{Outcome: a.Outcome, Version: a.Version, Path: a.Path, Confirmed: a.Confirmed}
 	for _, c := range a.Changes {
 		encoded := platform.Change[[]byte]{Name: c.Name, Deleted: c.Deleted}
 		if !c.Deleted {
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -12,6 +12,7 @@
 	"carawaycross.example/carawaycross/core/roster"
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/schema"
+	"carawaycross.example/carawaycross/serve/clock"
 	"carawaycross.example/carawaycross/serve/codec"
 	"carawaycross.example/carawaycross/serve/mirror"
 	"carawaycross.example/carawaycross/serve/peer"
@@ -32,6 +33,11 @@
 	// answerFuncs maps each kind to the function that answers questions about it. It is
 	// only written before the transport starts.
 	answerFuncs map[string]func(context.Context, mirror.Question) mirror.Answer[[]byte]
+	// freshness maps each kind to the function that describes the objects held. It is only
+	// written before the transport starts.
+	freshness map[string]func() mirror.Freshness
+	// clock measures the age of objects.
+	clock *clock.Continuous
 }
 
 // readers holds one reader per kind of object.
@@ -50,44 +56,32 @@
 	d := v.discovery
 	self.Address = v.settings.Message.Vm.Listen
 	m := &mirrors{
-		selector: mirror.NewSelector(mirror.Member{VM: self.VM, Zone: self.Zone}, d.Region), prober: &watch.Prober{},
+		selector: mirror.NewSelector(mirror.Member{VM: self.VM, Zone: self.Zone}, d.Region),
+		prober:   &watch.Prober{}, clock: &clock.Continuous{},
 		alwaysReadStore: float64(watch.SilenceDetectionTime) > maxDetectionFraction*float64(d.ApplyWithin),
 	}
 	if m.alwaysReadStore {
 		m.selector.AlwaysReadStore()
 	}
-	client := mirrorClient{v}
+	m.prober.Now = m.clock.Now
+	m.answerFuncs = map[string]func(context.Context, mirror.Question) mirror.Answer[[]byte]{}
+	m.freshness = map[string]func() mirror.Freshness{}
 	m.readers = readers{
-		replicas: mirror.NewReader(guarded(d.Replicas, m.prober), mirror.Codec[catalogue.Replica]{
+		replicas: newReader(v, m, d.Replicas, mirror.Codec[catalogue.Replica]{
 			Marshal:   func(r catalogue.Replica) ([]byte, error) { return codec.MarshalReplica(v.clock.Now(), r) },
 			Unmarshal: func(b []byte) (catalogue.Replica, error) { return codec.UnmarshalReplica(v.clock.Now(), b) },
-		}, m.selector, client),
-		configurations: mirror.NewReader(guarded(d.Configurations, m.prober), mirror.Codec[catalogue.Configuration]{
+		}),
+		configurations: newReader(v, m, d.Configurations, mirror.Codec[catalogue.Configuration]{
 			Marshal: codec.MarshalRoutes, Unmarshal: codec.UnmarshalRoutes,
-		}, m.selector, client),
-		zonesOut: mirror.NewReader(guarded(d.ZonesOut, m.prober), mirror.Codec[ident.ZoneID]{
+		}),
+		zonesOut: newReader(v, m, d.ZonesOut, mirror.Codec[ident.ZoneID]{
 			Marshal:   func(z ident.ZoneID) ([]byte, error) { return []byte(z), nil },
 			Unmarshal: func(b []byte) (ident.ZoneID, error) { return ident.ZoneID(b), nil },
-		}, m.selector, client),
-		presets: mirror.NewReader(guarded(d.Presets, m.prober), mirror.Codec[[]byte]{
+		}),
+		presets: newReader(v, m, d.Presets, mirror.Codec[[]byte]{
 			Marshal:   func(b []byte) ([]byte, error) { return b, nil },
 			Unmarshal: func(b []byte) ([]byte, error) { return b, nil },
-		}, m.selector, client),
-	}
-	r := &m.readers
-	m.answerFuncs = map[string]func(context.Context, mirror.Question) mirror.Answer[[]byte]{
-		r.replicas.Kind(): r.replicas.Answer, r.configurations.Kind(): r.configurations.Answer,
-		r.zonesOut.Kind(): r.zonesOut.Answer, r.presets.Kind(): r.presets.Answer,
-	}
-	r.replicas.Unreadable, r.configurations.Unreadable = v.logUnreadable, v.logUnreadable
-	r.zonesOut.Unreadable, r.presets.Unreadable = v.logUnreadable, v.logUnreadable
-	r.replicas.ReadThroughOthers, r.configurations.ReadThroughOthers = v.logDetour, v.logDetour
-	r.zonesOut.ReadThroughOthers, r.presets.ReadThroughOthers = v.logDetour, v.logDetour
-	r.replicas.OutageEnded, r.configurations.OutageEnded = v.logOutage, v.logOutage
-	r.zonesOut.OutageEnded, r.presets.OutageEnded = v.logOutage, v.logOutage
-	if d.FirstStart {
-		r.replicas.InitialListWait, r.configurations.InitialListWait = mirror.InitialListWait, mirror.InitialListWait
-		r.zonesOut.InitialListWait, r.presets.InitialListWait = mirror.InitialListWait, mirror.InitialListWait
+		}),
 	}
 	v.addOrderReader(m)
 	v.mirrors = m
@@ -102,6 +96,39 @@
 	return nil
 }
 
+// newReader returns a Reader of a source of the store and registers the functions that
+// answer questions about it.
+func newReader[T any](v *VM, m *mirrors, source watch.Probeable[T], valueCodec mirror.Codec[T]) *mirror.Reader[T] {
+	guarded := &watch.Guarded[T]{Probeable: source, Prober: m.prober}
+	r := mirror.NewReader[T](guarded, valueCodec, m.selector, mirrorClient{v})
+	guarded.Confirmed = r.Confirm
+	r.Now = m.clock.Now
+	r.Unreadable, r.ReadThroughOthers, r.OutageEnded = v.logUnreadable, v.logDetour, v.logOutage
+	if v.discovery.FirstStart {
+		r.InitialListWait = mirror.InitialListWait
+	}
+	m.answerFuncs[r.Kind()], m.freshness[r.Kind()] = r.Answer, r.Freshness
+	return r
+}
+
+// A mirrorVar describes the objects of one kind in the metrics.
+type mirrorVar struct {
+	Version platform.StoreVersion `json:"version"`
+	// Age is in milliseconds; negative without any objects.
+	Age  int64        `json:"age-ms"`
+	Path []ident.VMID `json:"path"`
+}
+
+// vars returns the metrics of each kind.
+func (m *mirrors) vars() map[string]mirrorVar {
+	out := make(map[string]mirrorVar, len(m.freshness))
+	for kind, freshness := range m.freshness {
+		f := freshness()
+		out[kind] = mirrorVar{f.Version, f.Age.Milliseconds(), f.Path}
+	}
+	return out
+}
+
 func (v *VM) logUnreadable(kind, name string, err error) {
 	v.log.Warn().Str("kind", kind).Str("name", name).Err(err).Msg("mirrored-entry-not-read")
 }
@@ -113,15 +140,10 @@
 
 func (v *VM) logOutage(o mirror.Outage) {
 	v.log.Info().Str("kind", o.Kind).Int64("lasted-ms", o.Lasted.Milliseconds()).Int("silent", o.Silent).Int("rejected", o.Rejected).
+		Int64("age-ms", o.Age.Milliseconds()).
 		Int("store-calls", o.StoreCalls).Int("deferred", o.Deferred).Interface("path", o.Path).Msg("path-regained")
 }
 
-// guarded returns a source whose calls are cancelled when the prober detects that the
-// store no longer responds.
-func guarded[T any](source watch.Probeable[T], prober *watch.Prober) watch.Source[T] {
-	return watch.Guarded[T]{Probeable: source, Prober: prober}
-}
-
 // updateMirrors passes the listed VMs that are not shutting down to the selector.
 func (v *VM) updateMirrors(vms []platform.ListedVM) {
 	if v.mirrors == nil {
--- a/serve/vm/rollout.go
+++ b/serve/vm/rollout.go
@@ -148,15 +148,9 @@
 	if !v.settings.RolloutBounds().Set() || v.discovery.Rollouts.Orders == nil {
 		return
 	}
-	r := mirror.NewReader(guarded(v.discovery.Rollouts.Orders, m.prober), mirror.Codec[rollout.Order]{
+	m.readers.orders = newReader(v, m, v.discovery.Rollouts.Orders, mirror.Codec[rollout.Order]{
 		Marshal: codec.MarshalOrder, Unmarshal: codec.UnmarshalOrder,
-	}, m.selector, mirrorClient{v})
-	r.Unreadable, r.ReadThroughOthers, r.OutageEnded = v.logUnreadable, v.logDetour, v.logOutage
-	if v.discovery.FirstStart {
-		r.InitialListWait = mirror.InitialListWait
-	}
-	m.readers.orders = r
-	m.answerFuncs[r.Kind()] = r.Answer
+	})
 }
 
 // A rolloutTurn is what the control state asks for at one time.
--- a/serve/vm/status.go
+++ b/serve/vm/status.go
@@ -175,6 +175,9 @@
 	if v.peers != nil {
 		publish("peers", func() any { return v.peers.Stats() })
 	}
+	if v.mirrors != nil {
+		publish("mirrors", func() any { return v.mirrors.vars() })
+	}
 	if client, ok := v.store.(*platform.Client); ok {
 		publish("platform", func() any {
 			calls, failed := client.Calls()
--- a/serve/watch/prober.go
+++ b/serve/watch/prober.go
@@ -36,6 +36,11 @@
 type waitingCall struct {
 	probe  probeFunc
 	cancel context.CancelCauseFunc
+	// confirm, if not nil, is called with the start of each probe that finds the store
+	// responsive.
+	confirm func(at time.Time)
+	// addedAt is when the call was added.
+	addedAt time.Time
 	// lastProbe is the number of the last probe for this call.
 	lastProbe uint64
 }
@@ -47,6 +52,9 @@
 // can therefore wait long, and an unavailable store receives few calls. The zero value
 // is ready to use.
 type Prober struct {
+	// Now replaces time.Now unless nil. It must be set before Run.
+	Now func() time.Time
+
 	mu      sync.Mutex
 	waiting map[uint64]*waitingCall
 	lastID  uint64
@@ -62,6 +70,13 @@
 	updated task.Signal
 }
 
+func (p *Prober) time() time.Time {
+	if p.Now == nil {
+		return time.Now()
+	}
+	return p.Now()
+}
+
 // Run probes the store while calls wait for it, until the context is done.
 func (p *Prober) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -86,13 +101,33 @@
 func (p *Prober) runProbe(ctx context.Context, id uint64, probe probeFunc) {
 	ended := make(chan struct{})
 	defer close(ended)
+	startedAt := p.time()
 	p.mu.Lock()
-	p.probedAt, p.running = time.Now(), ended
+	p.probedAt, p.running = startedAt, ended
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	behind, err := probe(ctx)
 	p.recordProbe(id, behind && id != 0, err)
+	if err == nil {
+		p.confirmCalls(startedAt)
+	}
+}
+
+// confirmCalls reports a probe that found the store responsive to the calls that waited for
+// it when the probe started: the store would have answered them if it had changes.
+func (p *Prober) confirmCalls(startedAt time.Time) {
+	var confirms []func(time.Time)
+	p.mu.Lock()
+	for _, c := range p.waiting {
+		if c.confirm != nil && !c.addedAt.After(startedAt) {
+			confirms = append(confirms, c.confirm)
+		}
+	}
+	p.mu.Unlock()
+	for _, confirm := range confirms {
+		confirm(startedAt)
+	}
 }
 
 // nextProbe selects the waiting call whose last probe was longest ago. If the next probe
@@ -101,7 +136,7 @@
 func (p *Prober) nextProbe() (id uint64, probe probeFunc, updated <-chan struct{}, delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if delay = probeInterval - time.Since(p.probedAt); delay > 0 {
+	if delay = probeInterval - p.time().Sub(p.probedAt); delay > 0 {
 		return 0, nil, nil, delay
 	}
 	var oldest *waitingCall
@@ -145,7 +180,7 @@
 // probe shows that the call is silent or behind. The caller must call release after the
 // call. While the store is silent, guard returns an error as soon as the store responds
 // again, or after recoveryWait.
-func (p *Prober) guard(ctx context.Context, probe probeFunc) (guarded context.Context, release func(), err error) {
+func (p *Prober) guard(ctx context.Context, probe probeFunc, confirm func(time.Time)) (guarded context.Context, release func(), err error) {
 	if p.probeIsStale() {
 		p.runProbe(ctx, 0, probe)
 	} else {
@@ -155,7 +190,7 @@
 		return nil, nil, err
 	}
 	guarded, cancel := context.WithCancelCause(ctx)
-	id := p.addCall(&waitingCall{probe: probe, cancel: cancel})
+	id := p.addCall(&waitingCall{probe: probe, cancel: cancel, confirm: confirm})
 	return guarded, func() {
 		cancel(context.Canceled)
 		p.removeCall(id)
@@ -180,7 +215,7 @@
 func (p *Prober) probeIsStale() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Since(p.probedAt) > maxProbeAge
+	return p.time().Sub(p.probedAt) > maxProbeAge
 }
 
 // addCall adds a waiting call and returns its ID for removeCall.
@@ -191,7 +226,7 @@
 		p.waiting = map[uint64]*waitingCall{}
 	}
 	p.lastID++
-	c.lastProbe = p.probes
+	c.lastProbe, c.addedAt = p.probes, p.time()
 	p.waiting[p.lastID] = c
 	if len(p.waiting) == 1 {
 		p.updated.Broadcast()
@@ -243,11 +278,14 @@
 type Guarded[T any] struct {
 	Probeable[T]
 	Prober *Prober
+	// Confirmed, if not nil, is called while Changes waits, with each time at which the
+	// store responded and had no changes to return. It must not block.
+	Confirmed func(at time.Time)
 }
 
 // List returns all objects.
 func (g Guarded[T]) List(ctx context.Context) (platform.Listing[T], error) {
-	guarded, release, err := g.Prober.guard(ctx, g.probe(0))
+	guarded, release, err := g.Prober.guard(ctx, g.probe(0), nil)
 	if err != nil {
 		return platform.Listing[T]{}, err
 	}
@@ -258,7 +296,7 @@
 
 // Changes waits for changes after a version.
 func (g Guarded[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[T], platform.StoreVersion, error) {
-	guarded, release, err := g.Prober.guard(ctx, g.probe(after))
+	guarded, release, err := g.Prober.guard(ctx, g.probe(after), g.Confirmed)
 	if err != nil {
 		return nil, after, err
 	}
