--- /dev/null
+++ b/serve/mirror/series_test.go
@@ -0,0 +1,276 @@
+package mirror_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/clock"
+	"carawaycross.example/carawaycross/serve/mirror"
+	"carawaycross.example/carawaycross/serve/task"
+	"carawaycross.example/carawaycross/serve/watch"
+)
+
+// A span is a part of a series, as times since its start.
+type span struct{ from, to time.Duration }
+
+func (s span) includes(at time.Duration) bool { return at >= s.from && at < s.to }
+
+// A seriesVM is a VM of a series of disruptions.
+type seriesVM struct {
+	series *series
+	member mirror.Member
+	reader *mirror.Reader[string]
+	// frozen holds when the VM stands still, refused when others refuse its certificate.
+	frozen, refused []span
+	// reads counts the calls to the store.
+	reads int
+	mu    sync.Mutex
+	// readAt holds when the VM read each version.
+	readAt map[platform.StoreVersion]time.Duration
+}
+
+func (v *seriesVM) isCalm() bool { return len(v.frozen) == 0 && len(v.refused) == 0 }
+
+// awaitWake waits until the VM no longer stands still.
+func (v *seriesVM) awaitWake(ctx context.Context) {
+	for _, s := range v.frozen {
+		if at := v.series.now(); s.includes(at) {
+			clock.Sleep(ctx, s.to-at)
+		}
+	}
+}
+
+// A series plays VMs that freeze and restart while the store is well.
+type series struct {
+	began time.Time
+	vms   map[ident.VMID]*seriesVM
+
+	mu        sync.Mutex
+	version   platform.StoreVersion
+	changedAt map[platform.StoreVersion]time.Duration
+	changed   task.Signal
+}
+
+const seriesLatency = 3 * time.Millisecond
+
+func (s *series) now() time.Duration { return time.Since(s.began) }
+
+func (s *series) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.changedAt[s.version] = s.now()
+	s.changed.Broadcast()
+}
+
+func (s *series) state() (platform.StoreVersion, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.changed.Next()
+}
+
+// Ask is the transport of the VM.
+func (v *seriesVM) Ask(ctx context.Context, to mirror.Member, q mirror.Question) (mirror.Answer[[]byte], error) {
+	v.awaitWake(ctx)
+	other := v.series.vms[to.VM]
+	clock.Sleep(ctx, seriesLatency)
+	for _, s := range other.refused {
+		if s.includes(v.series.now()) {
+			return mirror.Answer[[]byte]{}, errDown
+		}
+	}
+	other.awaitWake(ctx)
+	a := other.reader.Answer(ctx, q)
+	other.awaitWake(ctx)
+	clock.Sleep(ctx, seriesLatency)
+	v.awaitWake(ctx)
+	return a, ctx.Err()
+}
+
+func (v *seriesVM) Kind() string { return "things" }
+
+func (v *seriesVM) Look(ctx context.Context, _ platform.StoreVersion) (bool, error) {
+	clock.Sleep(ctx, seriesLatency)
+	v.awaitWake(ctx)
+	return false, ctx.Err()
+}
+
+func (v *seriesVM) List(ctx context.Context) (platform.Listing[string], error) {
+	v.reads++
+	clock.Sleep(ctx, seriesLatency)
+	version, _ := v.series.state()
+	v.awaitWake(ctx)
+	return platform.Listing[string]{Version: version}, ctx.Err()
+}
+
+func (v *seriesVM) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[string], platform.StoreVersion, error) {
+	v.reads++
+	clock.Sleep(ctx, seriesLatency)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		version, changed := v.series.state()
+		if version > after || wait <= 0 {
+			v.awaitWake(ctx)
+			return changesUpTo(after, version), version, ctx.Err()
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		}
+	}
+}
+
+func changesUpTo(after, version platform.StoreVersion) []platform.Change[string] {
+	var out []platform.Change[string]
+	for n := after + 1; n <= version; n++ {
+		out = append(out, platform.Change[string]{Name: "a", Value: fmt.Sprint(n)})
+	}
+	return out
+}
+
+// follow follows the store until ctx is done.
+func (v *seriesVM) follow(ctx context.Context) {
+	record := func(context.Context, []platform.Change[string]) {
+		version := v.reader.Freshness().Version
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if _, ok := v.readAt[version]; !ok {
+			v.readAt[version] = v.series.now()
+		}
+	}
+	watch.Follow(ctx, v.reader, watch.Handler[string]{
+		Listed: record, Changed: record, Failed: func(context.Context, string, error) {},
+	})
+}
+
+// lag returns the time from a change until the VM read it.
+func (v *seriesVM) lag(version platform.StoreVersion, ended time.Duration) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	lag := ended - v.series.changedAt[version]
+	for read, at := range v.readAt {
+		if read >= version {
+			lag = min(lag, at-v.series.changedAt[version])
+		}
+	}
+	return max(lag, 0)
+}
+
+// A disruption strikes a share of the VMs.
+type disruption struct {
+	span
+	share   float64
+	freezes bool
+}
+
+// playSeries plays disruptions and changes and returns the greatest lag of a VM that none
+// of them struck, and the calls to the store.
+func playSeries(t *testing.T, seed uint64, vms int, disruptions []disruption, changes []time.Duration) (greatest time.Duration, reads int) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		s := &series{began: time.Now(), version: 1, vms: map[ident.VMID]*seriesVM{}, changedAt: map[platform.StoreVersion]time.Duration{}}
+		zones := []ident.ZoneID{"z0", "z1", "z2", "z3"}
+		var members []mirror.Member
+		for i := range vms {
+			m := mirror.Member{VM: ident.VMID(fmt.Sprint("vm-", i)), Zone: zones[i%len(zones)], Certificate: "c"}
+			members = append(members, m)
+			s.vms[m.VM] = &seriesVM{series: s, member: m, readAt: map[platform.StoreVersion]time.Duration{}}
+		}
+		for _, d := range disruptions {
+			for _, i := range random.Perm(vms)[:int(d.share*float64(vms))] {
+				v := s.vms[members[i].VM]
+				if d.freezes {
+					v.frozen = append(v.frozen, d.span)
+				} else {
+					v.refused = append(v.refused, d.span)
+				}
+			}
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{}, 2*vms)
+		for _, m := range members {
+			v := s.vms[m.VM]
+			selector := mirror.NewSelector(m, zones)
+			selector.SetMembers(members)
+			prober := &watch.Prober{}
+			source := &watch.Guarded[string]{Probeable: v, Prober: prober}
+			v.reader = newSeriesReader(source, selector, v)
+			source.Confirmed = v.reader.Confirm
+			go func() { prober.Run(ctx); ended <- struct{}{} }()
+		}
+		for _, m := range members {
+			go func() { s.vms[m.VM].follow(ctx); ended <- struct{}{} }()
+		}
+		for _, at := range changes {
+			time.Sleep(at - s.now())
+			s.change()
+		}
+		time.Sleep(10 * time.Second)
+		cancel()
+		for range 2 * vms {
+			<-ended
+		}
+		for _, v := range s.vms {
+			reads += v.reads
+			if !v.isCalm() {
+				continue
+			}
+			for version := range s.changedAt {
+				greatest = max(greatest, v.lag(version, s.now()))
+			}
+		}
+	})
+	return greatest, reads
+}
+
+func newSeriesReader(source watch.Source[string], selector *mirror.Selector, transport mirror.Transport) *mirror.Reader[string] {
+	return mirror.NewReader(source, stringCodec, selector, transport)
+}
+
+// randomSeries returns restarts of many VMs, after which their new certificates are not
+// known yet, freezes in quick succession, and changes between them.
+func randomSeries(seed uint64) (disruptions []disruption, changes []time.Duration) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	between := func(low, high float64) time.Duration {
+		return time.Duration((low + random.Float64()*(high-low)) * float64(time.Second))
+	}
+	at := 5 * time.Second
+	disruptions = append(disruptions, disruption{span{at, at + between(4, 10)}, 0.1 + 0.5*random.Float64(), false})
+	for range 2 + random.IntN(4) {
+		at += between(0.2, 1.6)
+		disruptions = append(disruptions, disruption{span{at, at + between(4, 9)}, 0.1 + 0.2*random.Float64(), true})
+		changes = append(changes, at+between(0, 0.2))
+	}
+	return disruptions, changes
+}
+
+// seriesSeeds is the number of series that a test plays.
+const seriesSeeds = 40
+
+// TestCalmVMsReadChangesWhileOthersFreeze guards against routes that stay in force for too
+// long in a VM that reaches the store: its mirrors are silent one after the other, and
+// those between them hold an older version without knowing it. However many there are, the
+// VM has a change within half of the time in which it must be in force.
+func TestCalmVMsReadChangesWhileOthersFreeze(t *testing.T) {
+	var greatest time.Duration
+	for seed := range uint64(seriesSeeds) {
+		disruptions, changes := randomSeries(seed)
+		lag, _ := playSeries(t, seed, 140, disruptions, changes)
+		greatest = max(greatest, lag)
+	}
+	t.Logf("the greatest lag of a calm VM: %v", greatest)
+	if greatest > applyWithin/2 {
+		t.Errorf("a calm VM had a change after %v, allowed: %v", greatest, applyWithin/2)
+	}
+}
