mirror: wait for the first listing only when there is none

The wait is meant for VMs that start together, but applied to all listings of a process that was there when the deployment started.

--- a/serve/mirror/outage_test.go
+++ b/serve/mirror/outage_test.go
@@ -189,3 +189,28 @@
 		}
 	})
 }
+
+// TestLaterListingsDoNotWaitForMirrors guards against an old version that stays in force
+// after a mirror dropped its history: the wait for the first listing of mirrors that start
+// together does not apply to later listings.
+func TestLaterListingsDoNotWaitForMirrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		store.set("a", "1")
+		readers, order, transport := newZone(store, 3)
+		last := readers[2]
+		last.InitialListWait = mirror.InitialListWait
+		for _, r := range readers {
+			if _, err := r.List(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, vm := range order[:2] {
+			transport.hanging[vm] = true
+		}
+		began := time.Now()
+		if _, err := last.List(context.Background()); err != nil || time.Since(began) > 500*time.Millisecond {
+			t.Errorf("listed after %v, %v", time.Since(began), err)
+		}
+	})
+}
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -189,7 +189,10 @@
 // List returns all objects.
 func (r *Reader[T]) List(ctx context.Context) (platform.Listing[T], error) {
 	began := r.time()
-	question := Question{Kind: r.Kind(), Wait: r.InitialListWait}
+	question := Question{Kind: r.Kind()}
+	if r.cache.Version() == 0 {
+		question.Wait = r.InitialListWait
+	}
 	responded, isBehind := r.selector.HasDisconnectedMirror(r.time()), false
 	for _, m := range r.selector.Mirrors(r.time()) {
 		l, origin, result := r.askListing(ctx, m, question)
