mirror: call the store before objects are too old, whatever other VMs answer

Its mirrors were silent one after the other, 1.5 s each, and the VMs between them answered that there is nothing new, which they did not know: each answer began all waits anew.

An answer now counts by its age, the time since the store is known to have had no other objects. An answer beyond the maximum age, a third of the time for a change, is no answer. Waits and pauses end when the objects of the VM reach it, and then the VM calls the store. So the sum of all waits has one bound, however many VMs are silent.

--- a/serve/mirror/ask.go
+++ b/serve/mirror/ask.go
@@ -50,7 +50,7 @@
 // askMirrors asks the mirrors in turn until one answers. It returns how many were asked and
 // how many of them responded. Only one silent mirror is waited for.
 func (r *Reader[T]) askMirrors(ctx context.Context, after platform.StoreVersion, wait time.Duration) (a Answer[T], origin Origin, ok bool, asked, responded int) {
-	wait = min(wait, maxMirrorWait)
+	wait = min(wait, questionWait)
 	for _, m := range r.selector.Mirrors(r.time()) {
 		a, origin, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: wait})
 		asked++
@@ -67,7 +67,7 @@
 		}
 		if result == silent {
 			wait = 0
-			if r.cache.readsStore() {
+			if r.cache.readsStore() || r.isOverdue() {
 				break
 			}
 		}
@@ -77,7 +77,7 @@
 
 // askOthers asks VMs that are not mirrors of this one. Only one silent VM is waited for.
 func (r *Reader[T]) askOthers(ctx context.Context, after platform.StoreVersion, wait time.Duration) (Answer[T], bool) {
-	wait = min(wait, maxMirrorWait)
+	wait = min(wait, questionWait)
 	for _, m := range r.selector.Others(r.time(), r.relay()) {
 		a, origin, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: wait, Disconnected: true})
 		if result == silent {
@@ -138,6 +138,10 @@
 	if q.Wait == 0 {
 		timeout = immediateAnswerTimeout
 	}
+	if q.After > 0 {
+		q.Wait, timeout = r.limitWait(q.Wait, timeout)
+	}
+	asked := r.time()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	received, err := r.transport.Ask(ctx, m, q)
@@ -146,7 +150,7 @@
 		return Answer[T]{}, silent
 	}
 	path := append([]ident.VMID{m.VM}, received.Path...)
-	if received.Outcome == Disconnected || len(path) > maxPath || !r.selector.accepts(r.time(), received.Path) {
+	if received.Outcome == Disconnected || len(path) > maxPath || !r.selector.accepts(r.time(), received.Path) || r.isTooOld(received, asked) {
 		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
 		return Answer[T]{}, rejected
 	}
--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -257,15 +257,15 @@
 }
 
 // relay answers a question of a disconnected VM: with all objects if after is 0, and
-// otherwise with the changes after that version as soon as there are any, or none if there
-// are none within wait.
+// otherwise with the changes after that version as soon as there are any or the store has
+// confirmed that there are none, or with none after wait.
 func (c *Cache[T]) relay(ctx context.Context, after platform.StoreVersion, wait time.Duration) Answer[T] {
 	arrived := c.time()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		a, updated := c.relayNow(after, arrived)
-		if a.Outcome != OK || after == 0 || len(a.Changes) > 0 || wait <= 0 {
+		if a.Outcome != OK || after == 0 || len(a.Changes) > 0 || a.Confirmed > 0 || wait <= 0 {
 			return a
 		}
 		select {
@@ -388,8 +388,9 @@
 	return c.allObjects(arrived), nil
 }
 
-// Changes returns the changes after a version as soon as there are any, or none if there
-// are none within wait. It returns Disconnected once the cache has been disconnected for
+// Changes returns the changes after a version as soon as there are any, or none as soon as
+// the store has confirmed that there are none, or after wait. Confirmations thus reach all
+// VMs that read through this one within the latency of the network. It returns Disconnected once the cache has been disconnected for
 // disconnectGrace.
 func (c *Cache[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) Answer[T] {
 	arrived := c.time()
@@ -397,7 +398,7 @@
 	defer timer.Stop()
 	for {
 		a, updated, disconnectedFor := c.changesSince(after, arrived)
-		if a.Outcome == Compacted || len(a.Changes) > 0 || (a.Outcome == OK && wait <= 0) {
+		if a.Outcome == Compacted || len(a.Changes) > 0 || (a.Outcome == OK && (a.Confirmed > 0 || wait <= 0)) {
 			return a
 		}
 		var graceEnded <-chan time.Time
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -23,9 +23,12 @@
 	// InitialListWait is how long a VM waits for the first listing of its mirror when
 	// all VMs start together.
 	InitialListWait = time.Second
-	// maxMirrorWait limits how long a mirror waits for a change before it answers. It is
-	// short because a mirror that no longer responds must be detected within the time in
-	// which a change must be in force.
+	// questionWait is how long a VM lets a mirror wait for a change. It is short because a
+	// mirror that no longer responds must be detected within the time in which a change must
+	// be in force, and longer than the time between two probes of the store, which confirm
+	// that there are no changes.
+	questionWait = 800 * time.Millisecond
+	// maxMirrorWait limits how long a mirror waits for a change before it answers.
 	maxMirrorWait = time.Second
 	// answerTimeout is the time, in addition to the wait, within which a mirror must
 	// answer.
@@ -108,6 +111,10 @@
 	pathLostAt time.Time
 	// Now replaces time.Now unless nil. It must be set before the first read.
 	Now func() time.Time
+	// MaxAge is the age of the objects beyond which the VM calls the store, whatever other
+	// VMs answer: the time since the store is known to have had no others. It bounds the sum
+	// of all waits for VMs that are silent or out of date. 0 means no limit.
+	MaxAge time.Duration
 	// InitialListWait is how long to wait for the first listing of a mirror. It is 0 for
 	// a VM that starts while others already run.
 	InitialListWait time.Duration
@@ -204,6 +211,9 @@
 		}
 		responded = responded || result == rejected
 		isBehind = isBehind || result == behind
+		if r.cache.Version() > 0 && r.isOverdue() {
+			break
+		}
 	}
 	// The store is known to be ahead of a mirror that is behind.
 	calledAt := r.time()
@@ -246,12 +256,16 @@
 // connected. If all VMs called it at once, an outage of the store would cost a call of
 // each VM whenever the VMs retry. The scouts of each zone call it at once, the others only
 // if no other VM responds, if they hold no objects yet, if the store served their last
-// read, or if they had no path for long; responded is true if a mirror responded.
+// read, or if they had no path for long or their objects exceed the maximum age; responded
+// is true if a mirror responded.
 func (r *Reader[T]) mayCallStore(responded bool) bool {
 	if r.selector.IsScout() || !responded || r.cache.Version() == 0 || r.cache.readsStore() {
 		return true
 	}
 	now := r.time()
+	if r.isOverdue() && r.storeRecoveredAt.IsZero() && now.Sub(r.storeFailedAt) >= storeRetryInterval {
+		return true
+	}
 	if r.pathLostAt.IsZero() {
 		r.pathLostAt = now
 	}
@@ -268,7 +282,9 @@
 	r.outages.current.StoreCalls++
 	if isWatchError(err, watch.Recovered) {
 		r.storeRecoveredAt = r.time()
+		return
 	}
+	r.storeFailedAt = r.time()
 }
 
 // recordPath records that a mirror or the store was read.
@@ -301,7 +317,6 @@
 			r.storeCalledAt = time.Time{}
 			return changes, version, err
 		}
-		r.storeFailedAt = r.time()
 		r.recordStoreFailure(err)
 	} else {
 		r.outages.current.Deferred++
--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -40,6 +40,11 @@
 // nothing from the store.
 const maxDetectionFraction = 0.4
 
+// maxAgeFraction is the part of Discovery.ApplyWithin that objects may age before a VM calls
+// the store. With the spread between VMs, the pause after a change and the call, a change is
+// in force within half of that time.
+const maxAgeFraction = 0.32
+
 // An UpstreamClient sends attempts to upstreams.
 type UpstreamClient interface {
 	traffic.Upstream
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -103,6 +104,7 @@
 	r := mirror.NewReader[T](guarded, valueCodec, m.selector, mirrorClient{v})
 	guarded.Confirmed = r.Confirm
 	r.Now = m.clock.Now
+	r.MaxAge = time.Duration(maxAgeFraction * float64(v.discovery.ApplyWithin))
 	r.Unreadable, r.ReadThroughOthers, r.OutageEnded = v.logUnreadable, v.logDetour, v.logOutage
 	if v.discovery.FirstStart {
 		r.InitialListWait = mirror.InitialListWait
--- a/serve/watch/source.go
+++ b/serve/watch/source.go
@@ -43,6 +43,11 @@
 	Look(ctx context.Context, after platform.StoreVersion) (changed bool, err error)
 }
 
+// An Urgent source limits the pause after a read that failed.
+type Urgent interface {
+	RetryWithin() time.Duration
+}
+
 // A Handler receives the objects and changes of a source. Its functions must not block
 // for long.
 type Handler[T any] struct {
@@ -71,15 +76,23 @@
 				clock.Sleep(ctx, coalesceDelay)
 			}
 		case errors.As(err, &e) && e.Kind == platform.Compacted:
-			clock.Sleep(ctx, coalesceDelay)
+			clock.Sleep(ctx, urgent(source, coalesceDelay))
 		case errors.As(err, &silent):
 			// No delay is needed: if the store is still silent, the next call waits for it.
 		default:
-			clock.Sleep(ctx, backoff.Next(rand.Float64()))
+			clock.Sleep(ctx, urgent(source, backoff.Next(rand.Float64())))
 		}
 	}
 }
 
+// urgent returns the pause after a failed read, which an Urgent source may shorten.
+func urgent[T any](source Source[T], delay time.Duration) time.Duration {
+	if u, ok := source.(Urgent); ok {
+		return min(delay, u.RetryWithin())
+	}
+	return delay
+}
+
 // A Follower follows a source one call at a time. Source and Handler must be set.
 type Follower[T any] struct {
 	Source  Source[T]
