mirror: keep the history over a listing

After the store had dropped its history, the VMs listed all objects one after the other down the tree, with a pause of 0.3 s at each hop; a link of 14 Mbit/s needs longer for 16 listings of 300 replicas than the 150 ms that a listing may take, and a mirror that is late is left out for 5 s. A VM that lists again now passes the listing on as changes, to which its readers need no listing of their own. TestMirrorThatListsAgainKeepsItsHistory: the answer was "compacted".

--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -91,8 +91,9 @@
 	return fmt.Sprint(c.version, c.base, len(c.batches), c.connected, c.relayed, c.path, inGrace)
 }
 
-// SetListing replaces all objects by a listing, unless the cache holds a newer version. It
-// drops the kept changes.
+// SetListing replaces all objects by a listing, unless the cache holds a newer version. The
+// kept changes stay: the listing counts as changes of all its objects and deletions of the
+// others, so that the VMs that read through this one need not list in turn.
 func (c *Cache[T]) SetListing(l platform.Listing[T], origin Origin) {
 	c.setListing(l, true, origin)
 }
@@ -108,11 +109,17 @@
 	if l.Version < c.version {
 		return
 	}
+	old := c.objects
 	c.objects = make(map[string]T, len(l.Items))
 	for _, i := range l.Items {
 		c.objects[i.Name] = i.Value
 	}
-	c.version, c.base, c.batches = l.Version, l.Version, nil
+	if c.version == 0 {
+		c.base = l.Version
+	} else if l.Version > c.version {
+		c.addBatch(batch[T]{l.Version, c.listedChanges(old)})
+	}
+	c.version = l.Version
 	c.connected, c.relayed, c.path = connected, !connected, origin.Path
 	c.confirm(origin.ConfirmedAt)
 	c.updated.Broadcast()
@@ -174,13 +181,33 @@
 			c.objects[change.Name] = change.Value
 		}
 	}
-	c.batches = append(c.batches, batch[T]{version, changes})
+	c.addBatch(batch[T]{version, changes})
+}
+
+// addBatch adds a batch to the kept ones. The lock must be held.
+func (c *Cache[T]) addBatch(b batch[T]) {
+	c.batches = append(c.batches, b)
 	if extra := len(c.batches) - maxBatches; extra > 0 {
 		c.base = c.batches[extra-1].version
 		c.batches = slices.Delete(c.batches, 0, extra)
 	}
 }
 
+// listedChanges returns the changes from the old objects to those of a listing, whose
+// objects all count as changed. The lock must be held.
+func (c *Cache[T]) listedChanges(old map[string]T) []platform.Change[T] {
+	changes := make([]platform.Change[T], 0, len(c.objects))
+	for name, v := range c.objects {
+		changes = append(changes, platform.Change[T]{Name: name, Value: v})
+	}
+	for name := range old {
+		if _, ok := c.objects[name]; !ok {
+			changes = append(changes, platform.Change[T]{Name: name, Deleted: true})
+		}
+	}
+	return changes
+}
+
 // ApplyWhileDisconnected applies changes that this VM read from one that is not its
 // mirror. The cache stays disconnected for the VMs whose mirror this one is, so that the
 // tree of mirrors heals; other disconnected VMs may read from it.
--- a/serve/mirror/history_test.go
+++ b/serve/mirror/history_test.go
@@ -137,3 +137,26 @@
 	Changed: func(context.Context, []platform.Change[string]) {},
 	Failed:  func(context.Context, string, error) {},
 }
+
+// TestMirrorThatListsAgainKeepsItsHistory guards against VMs that list all objects one
+// after the other, and have a change late, because the store dropped its history for the
+// first of them.
+func TestMirrorThatListsAgainKeepsItsHistory(t *testing.T) {
+	cache := &mirror.Cache[string]{}
+	items := func(values ...string) (out []platform.Change[string]) {
+		for _, v := range values {
+			out = append(out, platform.Change[string]{Name: v[:1], Value: v})
+		}
+		return out
+	}
+	cache.SetListing(platform.Listing[string]{Version: 1, Items: items("a1", "b1")}, mirror.Origin{})
+	cache.SetListing(platform.Listing[string]{Version: 5, Items: items("a2")}, mirror.Origin{})
+	got := cache.Changes(context.Background(), 1, 0)
+	want := append(items("a2"), platform.Change[string]{Name: "b", Deleted: true})
+	if got.Outcome != mirror.OK || got.Version != 5 || !slices.Equal(got.Changes, want) {
+		t.Errorf("got %+v, expected %v at version 5", got, want)
+	}
+	if got = cache.Changes(context.Background(), 5, 0); got.Outcome != mirror.OK || len(got.Changes) > 0 {
+		t.Errorf("got %+v after version 5, expected no changes", got)
+	}
+}
