mirror: continue a watch from before the ones without events

After drop-history of the soak (seed 85006, 5 VMs) no VM ever had a change: a watch ended while the store withheld it, and its answer led past it.

--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -10,17 +10,26 @@
 	"carawaycross.example/carawaycross/proof/soak"
 )
 
+// usualVMs and usualDuration are the size of a run, unless a seed needs another one.
+const (
+	usualVMs      = 3
+	usualDuration = 8 * time.Second
+)
+
 // seeds are run in each test: a first one, and each one that ever reported a broken
 // promise, with its cause.
 var seeds = []struct {
-	seed  uint64
-	cause string
+	seed     uint64
+	vms      int
+	duration time.Duration
+	cause    string
 }{
-	{3, "short run of the usual faults"},
-	{2, "the checker ended a fault early and reported a stop as late"},
-	{318, "a restarted VM found its port in use: it was from the range for outgoing connections"},
-	{606, "a stop cut off a request that waited at a replica that hangs"},
-	{13, "the checker mistook the process started after a kill for the one that got SIGTERM"},
+	{3, usualVMs, usualDuration, "short run of the usual faults"},
+	{2, usualVMs, usualDuration, "the checker ended a fault early and reported a stop as late"},
+	{318, usualVMs, usualDuration, "a restarted VM found its port in use: it was from the range for outgoing connections"},
+	{606, usualVMs, usualDuration, "a stop cut off a request that waited at a replica that hangs"},
+	{13, usualVMs, usualDuration, "the checker mistook the process started after a kill for the one that got SIGTERM"},
+	{85006, 5, 12 * time.Second, "a watch that ended while the store withheld a change led past it"},
 }
 
 // TestSoak runs the real program under a short series of faults.
@@ -36,7 +45,7 @@
 	for _, s := range seeds {
 		var log []string
 		report, err := soak.Run(context.Background(), soak.Config{
-			Seed: s.seed, Duration: 8 * time.Second, Binary: binary, Folder: t.TempDir(), VMs: 3,
+			Seed: s.seed, Duration: s.duration, Binary: binary, Folder: t.TempDir(), VMs: s.vms,
 			OnFault: func(line string) { log = append(log, line) },
 		})
 		if err != nil {
--- a/serve/mirror/history_test.go
+++ b/serve/mirror/history_test.go
@@ -160,3 +160,26 @@
 		t.Errorf("got %+v after version 5, expected no changes", got)
 	}
 }
+
+// TestChangeWithheldByAWatchIsRead guards against a change that is lost for good: a watch
+// ended without it, and its answer led past it.
+func TestChangeWithheldByAWatchIsRead(t *testing.T) {
+	store := newStore()
+	store.set("a", "1")
+	readers, _, _ := newZone(store, 1)
+	ctx := context.Background()
+	if _, err := readers[0].List(ctx); err != nil {
+		t.Fatal(err)
+	}
+	store.set("a", "2")
+	store.withholds = true
+	changes, version, err := readers[0].Changes(ctx, 1, time.Minute)
+	if err != nil || len(changes) > 0 || version != 2 {
+		t.Fatalf("got %v at version %d, %v", changes, version, err)
+	}
+	store.withholds = false
+	changes, version, err = readers[0].Changes(ctx, version, time.Minute)
+	if err != nil || len(changes) != 1 || version != 2 {
+		t.Errorf("got %v at version %d, %v; expected the change that was withheld", changes, version, err)
+	}
+}
--- a/serve/mirror/mirror_test.go
+++ b/serve/mirror/mirror_test.go
@@ -25,7 +25,9 @@
 	down    bool
 	// silent stores return no changes, and droppedBefore is the version before which the
 	// history is gone. failure, if not nil, is the error of Changes.
-	silent        bool
+	silent bool
+	// withholds stores return no changes, and the version after them.
+	withholds     bool
 	droppedBefore platform.StoreVersion
 	failure       error
 	reads         int
@@ -64,6 +66,8 @@
 		return nil, after, errCompacted
 	case s.silent:
 		return nil, after, nil
+	case s.withholds:
+		return nil, s.version, nil
 	}
 	return s.log[after:], s.version, nil
 }
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -103,6 +103,9 @@
 	// storeRecoveredAt is when a call found that the store responds again; zero once the
 	// store or a mirror was read. It is only accessed by List and Changes.
 	storeRecoveredAt time.Time
+	// emptyWatches are the last reads from the store that returned no changes. It is only
+	// accessed by Changes.
+	emptyWatches emptyWatches
 	// storeReads counts the reads from the store since a mirror last answered. It is only
 	// accessed by Changes.
 	storeReads int
@@ -364,13 +367,16 @@
 	}
 	calledAt := r.time()
 	r.storeCalledAt, r.storeRecoveredAt = calledAt, time.Time{}
-	changes, version, err := r.source.Changes(ctx, after, wait)
+	changes, version, err := r.source.Changes(ctx, r.emptyWatches.continueFrom(calledAt, after), wait)
 	if err != nil {
 		if !storeAnswered(err) {
 			r.cache.MarkDisconnected()
 		}
 		return nil, after, err
 	}
+	if len(changes) == 0 {
+		r.emptyWatches.add(calledAt, after, version)
+	}
 	r.cache.Apply(changes, version, Origin{ConfirmedAt: calledAt})
 	r.recordPath()
 	r.lastDetour = Detour{}
