platform, mirror: a version of the store is an era and a revision

After the store came back from a copy, VMs that read through others had no change until its revisions had passed the old ones: a mirror kept the objects of the highest revision. The entries of VMs that the copy lacked were never written again, and a zone out of service was used while its entry was missing. Versions are ordered by the era of the store's responses first.

--- a/carawaycross.go
+++ b/carawaycross.go
@@ -91,6 +91,9 @@
 	store.Unreadable = func(kind, name string, err error) {
 		log.Warn().Str("kind", kind).Str("name", name).Err(err).Msg("entry-not-read")
 	}
+	store.EraBegan = func(before, now platform.Era) {
+		log.Warn().Uint16("before", uint16(before)).Uint16("now", uint16(now)).Msg("store-restored")
+	}
 	replicas, configurations, zones := store.Replicas(clock.New()), store.Configurations(), store.ZonesOut()
 	presets := store.Objects(boot.PresetsObject())
 	var region []ident.ZoneID
--- a/core/catalogue/catalogue.go
+++ b/core/catalogue/catalogue.go
@@ -81,8 +81,13 @@
 	absentUntil   map[ident.ReplicaID]ident.Instant
 	reconnectedAt ident.Instant
 	unavailable   bool
-	zonesOut      map[ident.ZoneID]bool
-	listReceived  bool
+	// restoredAt is when the store came back from a copy; 0 if it never did.
+	restoredAt ident.Instant
+	zonesOut   map[ident.ZoneID]bool
+	// zonesAbsentUntil maps each zone whose entry was missing after the store came back from
+	// a copy to the time at which the zone is back in service.
+	zonesAbsentUntil map[ident.ZoneID]ident.Instant
+	listReceived     bool
 }
 
 // Ready reports whether routes and the list of replicas have been received.
@@ -106,6 +111,10 @@
 // effect before the first list.
 func (c *Catalogue) MarkUnavailable() { c.unavailable = c.listReceived }
 
+// MarkRestored records that the store came back from a copy. Operators and replicas write
+// again what it lost, so entries that are missing count for a grace period.
+func (c *Catalogue) MarkRestored(now ident.Instant) { c.restoredAt, c.reconnectedAt = now, now }
+
 // markAvailable records that the list of replicas can be read again.
 func (c *Catalogue) markAvailable(now ident.Instant) {
 	if c.unavailable {
@@ -190,6 +199,9 @@
 	for _, until := range c.absentUntil {
 		next = min(next, until)
 	}
+	for _, until := range c.zonesAbsentUntil {
+		next = min(next, until)
+	}
 	return next
 }
 
@@ -204,15 +216,32 @@
 			changed = true
 		}
 	}
+	for zone, until := range c.zonesAbsentUntil {
+		if now >= until {
+			delete(c.zonesAbsentUntil, zone)
+			delete(c.zonesOut, zone)
+			changed = true
+		}
+	}
 	return changed
 }
 
-// SetZonesOut replaces the set of zones that are out of service.
-func (c *Catalogue) SetZonesOut(zones []ident.ZoneID) {
-	c.zonesOut = map[ident.ZoneID]bool{}
+// SetZonesOut replaces the set of zones that are out of service. After the store came back
+// from a copy it retains the zones that the set lacks for the grace period.
+func (c *Catalogue) SetZonesOut(now ident.Instant, zones []ident.ZoneID) {
+	old, until := c.zonesOut, c.restoredAt.Add(absenceGracePeriod)
+	c.zonesOut, c.zonesAbsentUntil = map[ident.ZoneID]bool{}, map[ident.ZoneID]ident.Instant{}
 	for _, z := range zones {
 		c.zonesOut[z] = true
 	}
+	if c.restoredAt == 0 || now >= until {
+		return
+	}
+	for z := range old {
+		if !c.zonesOut[z] {
+			c.zonesOut[z], c.zonesAbsentUntil[z] = true, until
+		}
+	}
 }
 
 // ZonesOut returns the zones that are out of service, sorted.
--- a/core/catalogue/catalogue_test.go
+++ b/core/catalogue/catalogue_test.go
@@ -123,12 +123,35 @@
 	}
 }
 
+// TestEntriesLostWithTheStoreAreKept guards against requests to a zone that is out of
+// service, and against replicas that get none, because the store came back from a copy that
+// lacks their entries: they are written again within a moment.
+func TestEntriesLostWithTheStoreAreKept(t *testing.T) {
+	var c catalogue.Catalogue
+	const began = ident.Instant(1000 * time.Second)
+	c.ReplaceAll(began, []catalogue.Replica{newReplica("a")})
+	c.SetZonesOut(began, []ident.ZoneID{"baden"})
+	c.MarkRestored(began)
+	c.ReplaceAll(began, nil)
+	c.SetZonesOut(began, nil)
+	if got := c.ZonesOut(); len(got) != 1 || len(replicaIDs(&c)) != 1 {
+		t.Fatalf("zones %v and replicas %v right after the store came back, expected one each", got, replicaIDs(&c))
+	}
+	ended := c.Next()
+	if ended > began.Add(3*time.Second) {
+		t.Fatalf("entries are kept until %v after the store came back", ended.Sub(began))
+	}
+	if !c.Expire(ended) || len(c.ZonesOut()) != 0 || len(replicaIDs(&c)) != 0 {
+		t.Fatalf("zones %v and replicas %v after the grace period, expected none", c.ZonesOut(), replicaIDs(&c))
+	}
+}
+
 func TestZonesOut(t *testing.T) {
 	var c catalogue.Catalogue
 	r := newReplica("a")
 	r.Zone = "baden"
 	c.ReplaceAll(start, []catalogue.Replica{r})
-	c.SetZonesOut([]ident.ZoneID{"baden"})
+	c.SetZonesOut(0, []ident.ZoneID{"baden"})
 	var v view.View
 	c.AddTo(&v, retry.QuotaLimits{}, func(ident.ReplicaID) int { return 0 })
 	if !v.Services[0].Replicas[0].Out {
--- a/core/control/discovery.go
+++ b/core/control/discovery.go
@@ -32,9 +32,12 @@
 // ReplicasFailed records that the list of replicas could not be read.
 func (c *Core) ReplicasFailed() { c.catalogue.MarkUnavailable() }
 
+// StoreRestored records that the store came back from a copy.
+func (c *Core) StoreRestored(now ident.Instant) { c.catalogue.MarkRestored(now) }
+
 // ZonesOutRead sets the availability zones whose replicas receive no requests.
 func (c *Core) ZonesOutRead(now ident.Instant, zones []ident.ZoneID) {
-	c.catalogue.SetZonesOut(zones)
+	c.catalogue.SetZonesOut(now, zones)
 	c.viewStale = true
 	c.processChanges(now)
 }
--- a/proof/standin/platform.go
+++ b/proof/standin/platform.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -67,6 +68,9 @@
 	// removed.
 	history     []changeEvent
 	compactedTo uint64
+	// era counts the calls of Restore, and copied holds the objects of the last Copy.
+	era    int
+	copied storeCopy
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	faults  PlatformFaults
@@ -153,6 +157,38 @@
 	p.notifyWatchesLocked()
 }
 
+// A storeCopy holds the objects of a store and its revision.
+type storeCopy struct {
+	revision uint64
+	kinds    map[string]map[string]storedObject
+}
+
+// Copy keeps a copy of all objects, for Restore.
+func (p *Platform) Copy() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.copied = storeCopy{p.revision, cloneKinds(p.kinds)}
+}
+
+func cloneKinds(kinds map[string]map[string]storedObject) map[string]map[string]storedObject {
+	out := make(map[string]map[string]storedObject, len(kinds))
+	for kind, objects := range kinds {
+		out[kind] = maps.Clone(objects)
+	}
+	return out
+}
+
+// Restore begins the next era with the objects of the last Copy: changes since are lost,
+// their revisions are given out again, and watches from them fail.
+func (p *Platform) Restore() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.era++
+	p.revision, p.kinds = p.copied.revision, cloneKinds(p.copied.kinds)
+	p.compactedTo, p.history = p.revision, nil
+	p.notifyWatchesLocked()
+}
+
 // Revert sets the objects with a name to an earlier value, as a store restored
 // from an old backup would. The revision still increases.
 func (p *Platform) Revert(name string, _ uint64, value []byte) {
@@ -181,6 +217,14 @@
 	return 0, nil
 }
 
+// Content returns the revision and the content of an object, or 0 and nil.
+func (p *Platform) Content(kind, name string) (uint64, []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.kinds[kind][name]
+	return o.Meta.Revision, o.Spec
+}
+
 // Calls returns the cost of all calls: reads, where a watch counts as one and a
 // read that allows stale data as a tenth, and writes.
 func (p *Platform) Calls() (reads, writes int) {
@@ -208,6 +252,9 @@
 		}
 		p.callsThisSecond++
 		limited := f.CallsPerSecond > 0 && p.callsThisSecond > f.CallsPerSecond
+		if p.era > 0 {
+			w.Header().Set(wire.HeaderEra, strconv.Itoa(p.era))
+		}
 		p.mu.Unlock()
 		if f.Delay > 0 {
 			clock.Sleep(r.Context(), f.Delay)
@@ -301,7 +348,10 @@
 	for {
 		p.mu.Lock()
 		changed, silent := p.changed, p.faults.SilentWatch
-		compacted, events, revision := after < p.compactedTo, p.eventsSinceLocked(kind, after), p.revision
+		compacted, events, revision := after < p.compactedTo || after > p.revision, p.eventsSinceLocked(kind, after), p.revision
+		if p.era > 0 {
+			w.Header().Set(wire.HeaderEra, strconv.Itoa(p.era))
+		}
 		p.mu.Unlock()
 		if compacted {
 			http.Error(w, "history is gone", http.StatusGone)
--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -133,7 +133,7 @@
 	v.group.Go(ctx, func(ctx context.Context) { followReader(ctx, v, r.presets, v.presetHandler()) })
 	v.startRollouts(ctx)
 	v.group.Go(ctx, v.watcher.PollVMs)
-	v.group.Go(ctx, func(ctx context.Context) { v.addEntry(ctx, self) })
+	v.group.Go(ctx, func(ctx context.Context) { v.keepEntry(ctx, self) })
 	return nil
 }
 
@@ -158,6 +158,33 @@
 	watch.Follow(ctx, r, handler)
 }
 
+// maxEntryDelay is the longest pause until a VM writes its entry again, so that the VMs of a
+// large deployment do not all write at once.
+const maxEntryDelay = 2 * time.Second
+
+// keepEntry adds this VM to the list of VMs, and again after the store came back from a copy,
+// which may lack the entry.
+func (v *VM) keepEntry(ctx context.Context, self roster.Member) {
+	for ctx.Err() == nil {
+		v.addEntry(ctx, self)
+		select {
+		case <-v.entryLost:
+			clock.Sleep(ctx, time.Duration(rand.Float64()*float64(maxEntryDelay)))
+		case <-ctx.Done():
+		}
+	}
+}
+
+// storeRestored handles that the store came back from a copy, which each kind finds out for
+// itself.
+func (v *VM) storeRestored(ctx context.Context) {
+	v.updateControl(ctx, func(now ident.Instant, core *control.Core) { core.StoreRestored(now) })
+	select {
+	case v.entryLost <- struct{}{}:
+	default:
+	}
+}
+
 // addEntry adds this VM to the list of VMs and retries until it succeeds.
 func (v *VM) addEntry(ctx context.Context, self roster.Member) {
 	backoff := platform.Backoff{}
@@ -166,7 +193,7 @@
 		Certificate: v.mirrors.identity.Digest(),
 	}
 	// An earlier incarnation of the VM may have left its entry.
-	mayBeListed := !v.discovery.FirstStart
+	mayBeListed := !v.discovery.FirstStart || v.entryVersion.Load() != 0
 	for ctx.Err() == nil {
 		version, err := v.replaceEntry(ctx, entry, mayBeListed)
 		mayBeListed = true
@@ -253,6 +280,7 @@
 			v.logReplicaChanges(updates)
 			v.updateControl(ctx, func(now ident.Instant, core *control.Core) { core.ReplicasChanged(now, updates) })
 		},
+		Restored: v.storeRestored,
 		Failed: func(ctx context.Context, _ string, err error) {
 			d.recordFailure(err)
 			v.updateControl(ctx, func(_ ident.Instant, core *control.Core) { core.ReplicasFailed() })
@@ -288,7 +316,7 @@
 		}
 	}
 	return watch.Handler[catalogue.Configuration]{
-		Listed: handle, Changed: handle,
+		Listed: handle, Changed: handle, Restored: v.storeRestored,
 		Failed: func(_ context.Context, _ string, err error) { d.recordFailure(err) },
 	}
 }
@@ -310,7 +338,7 @@
 		}
 	}
 	return watch.Handler[[]byte]{
-		Listed: handle, Changed: handle,
+		Listed: handle, Changed: handle, Restored: v.storeRestored,
 		Failed: func(ctx context.Context, _ string, err error) {
 			d.recordFailure(err)
 			v.updateControl(ctx, func(now ident.Instant, core *control.Core) { core.PlatformFailed(now, err.Error()) })
@@ -351,6 +379,7 @@
 				publish(ctx)
 			}
 		},
-		Failed: func(_ context.Context, _ string, err error) { d.recordFailure(err) },
+		Restored: v.storeRestored,
+		Failed:   func(_ context.Context, _ string, err error) { d.recordFailure(err) },
 	}
 }
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -106,6 +106,8 @@
 	stopTimes atomic.Pointer[stopTimes]
 	// entryVersion is the version of this VM's entry in the list of VMs; 0 if none.
 	entryVersion atomic.Uint64
+	// entryLost receives a value when the list of VMs may lack this VM.
+	entryLost chan struct{}
 	// handling counts the HTTP requests that are being handled.
 	handling atomic.Int64
 	// cutOff is true while this VM's zone is cut off and callers are directed to VMs of
@@ -130,7 +132,7 @@
 	}
 	v := &VM{
 		settings: s, log: o.Log, clock: clock.New(), views: &view.Publisher{}, upstream: &upstream.Client{},
-		gauges: &gauge.Set{}, store: o.Store, group: task.NewGroup(maxTasks), discovery: o.Discovery, cutOffNotices: make(chan struct{}, 1),
+		gauges: &gauge.Set{}, store: o.Store, group: task.NewGroup(maxTasks), discovery: o.Discovery, cutOffNotices: make(chan struct{}, 1), entryLost: make(chan struct{}, 1),
 		rolloutWrites: make(chan []rollout.Write, 1),
 	}
 	v.stopTimes.Store(stopTimesOf(s))
--- a/serve/watch/source.go
+++ b/serve/watch/source.go
@@ -55,6 +55,9 @@
 	Listed func(ctx context.Context, items []platform.Change[T])
 	// Changed receives the changes since the last call; it may receive none.
 	Changed func(ctx context.Context, changes []platform.Change[T])
+	// Restored, if not nil, is called before the first objects or changes that were read
+	// after the store came back from a copy: objects that are missing may be written again.
+	Restored func(ctx context.Context)
 	// Failed receives the error of each failed call, except for dropped history.
 	Failed func(ctx context.Context, kind string, err error)
 }
@@ -144,11 +147,19 @@
 	if err != nil {
 		return err
 	}
+	f.noteEra(ctx, l.Version)
 	f.Handler.Listed(ctx, l.Items)
 	f.version, f.listed = l.Version, true
 	return nil
 }
 
+// noteEra calls Handler.Restored if a version is of a later era than the last one.
+func (f *Follower[T]) noteEra(ctx context.Context, version platform.StoreVersion) {
+	if f.version > 0 && version.Era() > f.version.Era() && f.Handler.Restored != nil {
+		f.Handler.Restored(ctx)
+	}
+}
+
 func (f *Follower[T]) awaitChanges(ctx context.Context) (changed bool, err error) {
 	wait := watchWait
 	if !f.caughtUp {
@@ -158,6 +169,7 @@
 	if err != nil {
 		return false, err
 	}
+	f.noteEra(ctx, version)
 	f.Handler.Changed(ctx, changes)
 	f.version = version
 	return len(changes) > 0, nil
