--- a/serve/mirror/age.go
+++ b/serve/mirror/age.go
@@ -3,6 +3,9 @@
 import (
 	"math"
 	"time"
+
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/platform"
 )
 
 const (
@@ -70,3 +73,60 @@
 	}
 	return max(left, minRetryDelay)
 }
+
+// Confirm records that the store had no other objects at a time, if this VM reads the store
+// itself. It may be called from several goroutines.
+func (r *Reader[T]) Confirm(at time.Time) { r.cache.ConfirmFromStore(at) }
+
+// Freshness describes the objects that a Reader holds.
+type Freshness struct {
+	Version platform.StoreVersion
+	// Age is the time since the store is known to have had no other objects; negative
+	// without any objects.
+	Age time.Duration
+	// Path holds the VMs through which the objects came, nearest first; none if they came
+	// from the store.
+	Path []ident.VMID
+}
+
+// Freshness describes the objects that the reader holds. It may be called from several
+// goroutines.
+func (r *Reader[T]) Freshness() Freshness { return r.cache.freshness(r.time()) }
+
+// ConfirmFromStore records that the store had no other objects at a time, if this VM reads
+// the store itself.
+func (c *Cache[T]) ConfirmFromStore(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connected && len(c.path) == 0 && c.confirm(at) {
+		c.updated.Broadcast()
+	}
+}
+
+// confirm advances confirmedAt and reports whether it did. The lock must be held.
+func (c *Cache[T]) confirm(at time.Time) bool {
+	if !at.After(c.confirmedAt) {
+		return false
+	}
+	c.confirmedAt = at
+	return true
+}
+
+// ConfirmedAt returns the latest time at which the store is known to have had no other
+// objects; zero if nothing was read yet.
+func (c *Cache[T]) ConfirmedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmedAt
+}
+
+// freshness describes the objects at a time.
+func (c *Cache[T]) freshness(now time.Time) Freshness {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := Freshness{Version: c.version, Age: -1, Path: c.path}
+	if !c.confirmedAt.IsZero() {
+		f.Age = now.Sub(c.confirmedAt)
+	}
+	return f
+}
--- a/serve/mirror/ask.go
+++ b/serve/mirror/ask.go
@@ -127,13 +127,13 @@
 // it for some time.
 func (r *Reader[T]) ask(ctx context.Context, m Member, q Question) (Answer[T], Origin, askResult) {
 	asked := r.time()
-	a, result := r.askOnce(ctx, m, q)
+	a, result := r.askOnce(ctx, m, q, asked)
 	r.outages.countQuestion(result)
 	// The question arrived later than it was asked, so this is a lower bound.
 	return a, Origin{a.Path, asked.Add(a.Confirmed)}, result
 }
 
-func (r *Reader[T]) askOnce(ctx context.Context, m Member, q Question) (Answer[T], askResult) {
+func (r *Reader[T]) askOnce(ctx context.Context, m Member, q Question, asked time.Time) (Answer[T], askResult) {
 	timeout := q.Wait + answerTimeout
 	if q.Wait == 0 {
 		timeout = immediateAnswerTimeout
@@ -141,7 +141,6 @@
 	if q.After > 0 {
 		q.Wait, timeout = r.limitWait(q.Wait, timeout)
 	}
-	asked := r.time()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	received, err := r.transport.Ask(ctx, m, q)
--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -137,33 +137,6 @@
 	}
 }
 
-// ConfirmFromStore records that the store had no other objects at a time, if this VM reads
-// the store itself.
-func (c *Cache[T]) ConfirmFromStore(at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.connected && len(c.path) == 0 && c.confirm(at) {
-		c.updated.Broadcast()
-	}
-}
-
-// confirm advances confirmedAt and reports whether it did. The lock must be held.
-func (c *Cache[T]) confirm(at time.Time) bool {
-	if !at.After(c.confirmedAt) {
-		return false
-	}
-	c.confirmedAt = at
-	return true
-}
-
-// ConfirmedAt returns the latest time at which the store is known to have had no other
-// objects; zero if nothing was read yet.
-func (c *Cache[T]) ConfirmedAt() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.confirmedAt
-}
-
 // apply applies the changes up to a version, unless the cache already holds that
 // version. The lock must be held.
 func (c *Cache[T]) apply(changes []platform.Change[T], version platform.StoreVersion) {
@@ -222,17 +195,6 @@
 	}
 }
 
-// freshness describes the objects at a time.
-func (c *Cache[T]) freshness(now time.Time) Freshness {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	f := Freshness{Version: c.version, Age: -1, Path: c.path}
-	if !c.confirmedAt.IsZero() {
-		f.Age = now.Sub(c.confirmedAt)
-	}
-	return f
-}
-
 // MarkDisconnected records that neither a mirror nor the store could be read.
 func (c *Cache[T]) MarkDisconnected() {
 	c.mu.Lock()
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -167,25 +167,6 @@
 // Kind returns the kind of the objects.
 func (r *Reader[T]) Kind() string { return r.source.Kind() }
 
-// Confirm records that the store had no other objects at a time, if this VM reads the store
-// itself. It may be called from several goroutines.
-func (r *Reader[T]) Confirm(at time.Time) { r.cache.ConfirmFromStore(at) }
-
-// Freshness describes the objects that a Reader holds.
-type Freshness struct {
-	Version platform.StoreVersion
-	// Age is the time since the store is known to have had no other objects; negative
-	// without any objects.
-	Age time.Duration
-	// Path holds the VMs through which the objects came, nearest first; none if they came
-	// from the store.
-	Path []ident.VMID
-}
-
-// Freshness describes the objects that the reader holds. It may be called from several
-// goroutines.
-func (r *Reader[T]) Freshness() Freshness { return r.cache.freshness(r.time()) }
-
 // State describes what the reader would answer and whom it would ask at a time, for
 // comparisons in tests.
 func (r *Reader[T]) State(now time.Time) string {
--- a/serve/mirror/selector.go
+++ b/serve/mirror/selector.go
@@ -14,7 +14,7 @@
 )
 
 // fanout limits the VMs that read from one mirror. A zone of 100 VMs then has two levels
-// of mirrors; with one level, its first VM would answer about 100 questions per second
+// of mirrors; with one level, its first VM would answer about 140 questions per second
 // for each kind.
 const fanout = 16
 
