watch: check that a watch of the store returns its changes

Callers saw: requests handled by routes that were out of date, on a VM that logged nothing. Cause: a probe confirmed all watches that wait, also one whose own connection is dead while new ones work, and it was a stale read. So the maximum age of objects had no effect on such a VM, nor on those that read through it, and a stale read found the change seconds later. Change: watches of the routes and of the replicas are checked each by a read that is not stale, a quarter of the bound apart; only the check of a watch confirms its objects. A probe of a silent store ends before the next one is due.

--- /dev/null
+++ b/serve/mirror/refused_test.go
@@ -0,0 +1,129 @@
+package mirror_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carawaycross.example/carawaycross/core/ident"
+	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/mirror"
+	"carawaycross.example/carawaycross/serve/watch"
+)
+
+// A storeOutage is a span in which the store does not serve a VM: it refuses its calls, or
+// does not respond to them.
+type storeOutage struct {
+	span
+	isSilent bool
+}
+
+// callStore returns the error of a call to the store, or nil if the store serves the VM.
+func (v *seriesVM) callStore(ctx context.Context) error {
+	for _, o := range v.outages {
+		if !o.includes(v.series.now()) {
+			continue
+		}
+		if o.isSilent {
+			<-ctx.Done()
+		}
+		return errDown
+	}
+	return ctx.Err()
+}
+
+// storeOutageBegins returns a channel that receives when the next outage begins; nil if none
+// does.
+func (v *seriesVM) storeOutageBegins() <-chan time.Time {
+	for _, o := range v.outages {
+		if left := o.from - v.series.now(); left > 0 {
+			return time.After(left)
+		}
+	}
+	return nil
+}
+
+// isDead reports whether the connection of a watch that began at a time has died since.
+func (v *seriesVM) isDead(began time.Duration) bool {
+	for _, at := range v.deadAt {
+		if began <= at && at <= v.series.now() {
+			return true
+		}
+	}
+	return false
+}
+
+// smallApplyWithin is the time in which a change must be in force at a deployment of four
+// VMs, all of which read the store.
+const smallApplyWithin = 3 * time.Second
+
+// playSmall plays changes while the store does not serve some of four VMs, and returns the
+// greatest lag of a VM. Each VM has two kinds, so that checks and probes alternate.
+func playSmall(t *testing.T, disturb func(vms []*seriesVM), changes []time.Duration) (greatest time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &series{began: time.Now(), version: 1, vms: map[ident.VMID]*seriesVM{}, changedAt: map[platform.StoreVersion]time.Duration{}}
+		zones := []ident.ZoneID{"z0", "z1", "z2"}
+		var members []mirror.Member
+		var vms []*seriesVM
+		for i := range 4 {
+			m := mirror.Member{VM: ident.VMID(fmt.Sprint("vm-", i)), Zone: zones[i%len(zones)], Certificate: "c"}
+			members = append(members, m)
+			v := &seriesVM{series: s, member: m, readAt: map[platform.StoreVersion]time.Duration{}}
+			s.vms[m.VM], vms = v, append(vms, v)
+		}
+		disturb(vms)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{}, 2*len(vms))
+		for _, v := range vms {
+			selector := mirror.NewSelector(v.member, zones)
+			selector.AlwaysReadStore()
+			selector.SetMembers(members)
+			prober := &watch.Prober{}
+			source := &watch.Guarded[string]{Probeable: v, Prober: prober, CheckInterval: smallApplyWithin / 4}
+			v.reader = mirror.NewReader[string](source, stringCodec, selector, v)
+			v.reader.MaxAge = smallApplyWithin * 3 / 10
+			source.Confirmed = v.reader.Confirm
+			go func() { prober.Run(ctx); ended <- struct{}{} }()
+		}
+		for _, v := range vms {
+			go func() { v.follow(ctx); ended <- struct{}{} }()
+		}
+		for _, at := range changes {
+			time.Sleep(at - s.now())
+			s.change()
+		}
+		time.Sleep(5 * time.Second)
+		cancel()
+		for range 2 * len(vms) {
+			<-ended
+		}
+		for _, v := range vms {
+			for version := range s.changedAt {
+				greatest = max(greatest, v.lag(version, s.now()))
+			}
+		}
+	})
+	return greatest
+}
+
+// TestChangesAreReadOnceAWatchIsDead guards against a watch whose connection is dead while
+// probes on other connections succeed, which confirmed objects that were out of date.
+func TestChangesAreReadOnceAWatchIsDead(t *testing.T) {
+	var greatest time.Duration
+	for seed := range seriesSeeds() {
+		random := rand.New(rand.NewPCG(seed, 4))
+		at := 5*time.Second + time.Duration(random.Int64N(int64(time.Second)))
+		greatest = max(greatest, playSmall(t, func(vms []*seriesVM) {
+			for _, v := range vms {
+				v.deadAt = []time.Duration{at}
+			}
+		}, []time.Duration{at + time.Duration(random.Int64N(int64(time.Second)))}))
+	}
+	t.Logf("the greatest lag: %v", greatest)
+	if greatest > smallApplyWithin/2 {
+		t.Errorf("a VM had a change after %v, allowed: %v", greatest, smallApplyWithin/2)
+	}
+}
--- a/serve/mirror/series_test.go
+++ b/serve/mirror/series_test.go
@@ -29,6 +29,10 @@
 	reader *mirror.Reader[string]
 	// frozen holds when the VM stands still, refused when others refuse its certificate.
 	frozen, refused []span
+	// outages holds when the store does not serve the VM although it serves others, and
+	// deadAt when the connections to the store die on which a watch waits.
+	outages []storeOutage
+	deadAt  []time.Duration
 	// asked counts the questions to other VMs.
 	asked int
 	mu    sync.Mutex
@@ -76,6 +80,22 @@
 	return s.version, s.changed.Next()
 }
 
+// staleBy is the age of a stale read of the store.
+const staleBy = 3 * time.Second
+
+// versionAt returns the version that the store had at a time.
+func (s *series) versionAt(at time.Duration) platform.StoreVersion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var newest platform.StoreVersion
+	for version, changedAt := range s.changedAt {
+		if changedAt <= at {
+			newest = max(newest, version)
+		}
+	}
+	return newest
+}
+
 // Ask is the transport of the VM.
 func (v *seriesVM) Ask(ctx context.Context, to mirror.Member, q mirror.Question) (mirror.Answer[[]byte], error) {
 	v.asked++
@@ -97,14 +117,18 @@
 
 func (v *seriesVM) Kind() string { return "things" }
 
-func (v *seriesVM) Look(ctx context.Context, _ platform.StoreVersion) (bool, error) {
+// Look is a stale read.
+func (v *seriesVM) Look(ctx context.Context, after platform.StoreVersion) (bool, error) {
 	clock.Sleep(ctx, seriesLatency)
 	v.awaitWake(ctx)
-	return false, ctx.Err()
+	return v.series.versionAt(v.series.now()-staleBy) > after, v.callStore(ctx)
 }
 
 func (v *seriesVM) List(ctx context.Context) (platform.Listing[string], error) {
 	clock.Sleep(ctx, seriesLatency)
+	if err := v.callStore(ctx); err != nil {
+		return platform.Listing[string]{}, err
+	}
 	version, _ := v.series.state()
 	v.awaitWake(ctx)
 	return platform.Listing[string]{Version: version}, ctx.Err()
@@ -112,10 +136,18 @@
 
 func (v *seriesVM) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[string], platform.StoreVersion, error) {
 	clock.Sleep(ctx, seriesLatency)
+	began := v.series.now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		version, changed := v.series.state()
+		if v.isDead(began) {
+			<-ctx.Done()
+			return nil, after, ctx.Err()
+		}
+		if err := v.callStore(ctx); err != nil {
+			return nil, after, err
+		}
 		if version > after || wait <= 0 {
 			v.awaitWake(ctx)
 			return changesUpTo(after, version), version, ctx.Err()
@@ -124,6 +156,7 @@
 		case <-changed:
 		case <-timer.C:
 			wait = 0
+		case <-v.storeOutageBegins():
 		case <-ctx.Done():
 			return nil, after, ctx.Err()
 		}
--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -45,6 +45,11 @@
 // change and the call, a change is in force within half of that time.
 const maxAgeFraction = 0.3
 
+// checkFraction is the part of Discovery.ApplyWithin after which a VM that reads the store
+// checks for changes that a watch did not return. It is less than maxAgeFraction, so that
+// objects that are current do not reach the maximum age.
+const checkFraction = 0.25
+
 // An UpstreamClient sends attempts to upstreams.
 type UpstreamClient interface {
 	traffic.Upstream
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -67,19 +67,20 @@
 	m.prober.Now = m.clock.Now
 	m.answerFuncs = map[string]func(context.Context, mirror.Question) mirror.Answer[[]byte]{}
 	m.freshness = map[string]func() mirror.Freshness{}
+	checked := time.Duration(checkFraction * float64(d.ApplyWithin))
 	m.readers = readers{
-		replicas: newReader(v, m, d.Replicas, mirror.Codec[catalogue.Replica]{
+		replicas: newReader(v, m, d.Replicas, checked, mirror.Codec[catalogue.Replica]{
 			Marshal:   func(r catalogue.Replica) ([]byte, error) { return codec.MarshalReplica(v.clock.Now(), r) },
 			Unmarshal: func(b []byte) (catalogue.Replica, error) { return codec.UnmarshalReplica(v.clock.Now(), b) },
 		}),
-		configurations: newReader(v, m, d.Configurations, mirror.Codec[catalogue.Configuration]{
+		configurations: newReader(v, m, d.Configurations, checked, mirror.Codec[catalogue.Configuration]{
 			Marshal: codec.MarshalRoutes, Unmarshal: codec.UnmarshalRoutes,
 		}),
-		zonesOut: newReader(v, m, d.ZonesOut, mirror.Codec[ident.ZoneID]{
+		zonesOut: newReader(v, m, d.ZonesOut, 0, mirror.Codec[ident.ZoneID]{
 			Marshal:   func(z ident.ZoneID) ([]byte, error) { return []byte(z), nil },
 			Unmarshal: func(b []byte) (ident.ZoneID, error) { return ident.ZoneID(b), nil },
 		}),
-		presets: newReader(v, m, d.Presets, mirror.Codec[[]byte]{
+		presets: newReader(v, m, d.Presets, 0, mirror.Codec[[]byte]{
 			Marshal:   func(b []byte) ([]byte, error) { return b, nil },
 			Unmarshal: func(b []byte) ([]byte, error) { return b, nil },
 		}),
@@ -98,9 +99,10 @@
 }
 
 // newReader returns a Reader of a source of the store and registers the functions that
-// answer questions about it.
-func newReader[T any](v *VM, m *mirrors, source watch.Probeable[T], valueCodec mirror.Codec[T]) *mirror.Reader[T] {
-	guarded := &watch.Guarded[T]{Probeable: source, Prober: m.prober}
+// answer questions about it. The store is checked for changes that a watch did not return at
+// an interval, or by stale reads now and then if it is 0.
+func newReader[T any](v *VM, m *mirrors, source watch.Probeable[T], checkInterval time.Duration, valueCodec mirror.Codec[T]) *mirror.Reader[T] {
+	guarded := &watch.Guarded[T]{Probeable: source, Prober: m.prober, CheckInterval: checkInterval}
 	r := mirror.NewReader[T](guarded, valueCodec, m.selector, mirrorClient{v})
 	guarded.Confirmed = r.Confirm
 	r.Now = m.clock.Now
--- a/serve/watch/prober.go
+++ b/serve/watch/prober.go
@@ -7,16 +7,17 @@
 	"time"
 
 	"carawaycross.example/carawaycross/platform"
-	"carawaycross.example/carawaycross/serve/clock"
 	"carawaycross.example/carawaycross/serve/task"
 )
 
 const (
-	// probeInterval is the time between two probes of the store. The four watches of a
-	// VM are each probed within three seconds.
+	// probeInterval is the time between two probes of the store for the calls in turn.
 	probeInterval = 700 * time.Millisecond
 	// probeTimeout limits a probe: 200 times the store's usual response time.
 	probeTimeout = 800 * time.Millisecond
+	// recoveryProbeTimeout limits a probe of a silent store. It is shorter than probeInterval,
+	// so that a probe without a response does not delay the next one.
+	recoveryProbeTimeout = probeInterval / 2
 	// SilenceDetectionTime is the longest time from the store's last response until all
 	// calls that wait for it are cancelled.
 	SilenceDetectionTime = probeInterval + probeTimeout
@@ -41,16 +42,24 @@
 	confirm func(at time.Time)
 	// addedAt is when the call was added.
 	addedAt time.Time
-	// lastProbe is the number of the last probe for this call.
+	// lastProbe is the number of the last probe in turn for this call.
 	lastProbe uint64
+	// check is the probe of a call that is checked; nil for one that is probed in turn. It is
+	// not a stale read, so that it misses no change.
+	check probeFunc
+	// kind is the kind of object that the call waits for, and checkInterval the time between
+	// two checks of it. Both are set if check is.
+	kind          string
+	checkInterval time.Duration
 }
 
 // A Prober detects watches that the store no longer serves. While calls wait for the
-// store, it probes the store periodically, for each of the calls in turn. If a probe
-// finds changes, it cancels the call that should have returned them. If a probe fails,
-// it cancels all calls, and no new ones are made until the store responds again. Watches
-// can therefore wait long, and an unavailable store receives few calls. The zero value
-// is ready to use.
+// store, it probes the store periodically, for each of the calls in turn. Calls with a check
+// are probed by it instead, each at its own interval. If a probe finds changes, it cancels
+// the call that should have returned them: its connection may be dead while new ones work.
+// If a probe fails, it cancels all calls, and no new ones are made until the store responds
+// again. Watches can therefore wait long, and an unavailable store receives few calls. The
+// zero value is ready to use.
 type Prober struct {
 	// Now replaces time.Now unless nil. It must be set before Run.
 	Now func() time.Time
@@ -65,6 +74,10 @@
 	// probedAt is when the last probe started, and running is closed when it ends.
 	probedAt time.Time
 	running  chan struct{}
+	// turnAt is when the last probe in turn started, and checkedAt when the last check of a
+	// kind did.
+	turnAt    time.Time
+	checkedAt map[string]time.Time
 	// updated signals that the store became silent or responds again, or that a first
 	// call waits.
 	updated task.Signal
@@ -77,50 +90,74 @@
 	return p.Now()
 }
 
+// A probe is one probe of the store.
+type probe struct {
+	// callID is the call that it was made for; 0 for none.
+	callID uint64
+	run    probeFunc
+	// isCheck reports whether it is the check of the call.
+	isCheck bool
+}
+
 // Run probes the store while calls wait for it, until the context is done.
 func (p *Prober) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		id, probe, updated, delay := p.nextProbe()
-		if delay > 0 {
-			clock.Sleep(ctx, delay)
+		next, updated, delay := p.nextProbe()
+		if next.run != nil {
+			p.runProbe(ctx, next)
 			continue
 		}
-		if probe == nil {
-			select {
-			case <-updated:
-			case <-ctx.Done():
-			}
-			continue
-		}
-		p.runProbe(ctx, id, probe)
+		p.awaitNext(ctx, updated, delay)
+	}
+}
+
+// awaitNext waits for the next probe or, if delay is 0, for the next update.
+func (p *Prober) awaitNext(ctx context.Context, updated <-chan struct{}, delay time.Duration) {
+	var due <-chan time.Time
+	if delay > 0 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case <-due:
+	case <-updated:
+	case <-ctx.Done():
 	}
 }
 
-// runProbe runs a probe, for the call id or for none if id is 0, for at most probeTimeout
-// and records its result.
-func (p *Prober) runProbe(ctx context.Context, id uint64, probe probeFunc) {
+// runProbe runs a probe and records its result.
+func (p *Prober) runProbe(ctx context.Context, probe probe) {
 	ended := make(chan struct{})
 	defer close(ended)
 	startedAt := p.time()
 	p.mu.Lock()
 	p.probedAt, p.running = startedAt, ended
+	if !probe.isCheck {
+		p.turnAt = startedAt
+	}
+	timeout := probeTimeout
+	if p.lastErr != nil {
+		timeout = recoveryProbeTimeout
+	}
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	behind, err := probe(ctx)
-	p.recordProbe(id, behind && id != 0, err)
-	if err == nil {
-		p.confirmCalls(startedAt)
+	behind, err := probe.run(ctx)
+	p.recordProbe(probe.callID, behind && probe.callID != 0, err)
+	if err == nil && !behind {
+		p.confirmCalls(startedAt, probe)
 	}
 }
 
-// confirmCalls reports a probe that found the store responsive to the calls that waited for
-// it when the probe started: the store would have answered them if it had changes.
-func (p *Prober) confirmCalls(startedAt time.Time) {
+// confirmCalls reports a probe that found no changes, to the call that it checked. A probe in
+// turn is reported to the calls without a check that waited for the store when it started: a
+// store that is responsive would have answered them.
+func (p *Prober) confirmCalls(startedAt time.Time, probe probe) {
 	var confirms []func(time.Time)
 	p.mu.Lock()
-	for _, c := range p.waiting {
-		if c.confirm != nil && !c.addedAt.After(startedAt) {
+	for id, c := range p.waiting {
+		if c.confirm != nil && !c.addedAt.After(startedAt) && probe.confirms(id, c) {
 			confirms = append(confirms, c.confirm)
 		}
 	}
@@ -130,27 +167,85 @@
 	}
 }
 
-// nextProbe selects the waiting call whose last probe was longest ago. If the next probe
-// is not due yet, it returns the delay; if no call waits, it returns a channel that is
-// closed at the next update.
-func (p *Prober) nextProbe() (id uint64, probe probeFunc, updated <-chan struct{}, delay time.Duration) {
+// confirms reports whether the probe shows that the store has no changes for a call.
+func (p probe) confirms(id uint64, c *waitingCall) bool {
+	if c.check != nil {
+		return p.isCheck && p.callID == id
+	}
+	return true
+}
+
+// nextProbe returns the next probe, if one is due. Otherwise its run is nil, and nextProbe
+// returns a channel that is closed at the next update, and the delay until a probe is due; 0
+// if no call waits.
+func (p *Prober) nextProbe() (next probe, updated <-chan struct{}, delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if delay = probeInterval - p.time().Sub(p.probedAt); delay > 0 {
-		return 0, nil, nil, delay
+	now := p.time()
+	if p.lastErr == nil {
+		next, delay = p.nextCheck(now)
 	}
-	var oldest *waitingCall
+	if next.run != nil {
+		return next, nil, 0
+	}
+	inTurn, callID := p.nextInTurn()
+	if inTurn != nil {
+		if left := probeInterval - now.Sub(p.turnAt); left <= 0 {
+			p.probes++
+			inTurn.lastProbe = p.probes
+			return probe{callID: callID, run: inTurn.probe}, nil, 0
+		} else if delay == 0 || left < delay {
+			delay = left
+		}
+	}
+	return probe{}, p.updated.Next(), delay
+}
+
+// nextCheck returns the check that is due first. If none is due yet, it returns the delay
+// until one is; 0 if no call is checked. The lock must be held.
+func (p *Prober) nextCheck(now time.Time) (next probe, delay time.Duration) {
+	var first *waitingCall
+	for id, c := range p.waiting {
+		if c.check == nil || c.cancel == nil {
+			continue
+		}
+		if left := p.untilCheck(now, c); first == nil || left < delay {
+			first, delay = c, left
+			next = probe{callID: id, run: c.check, isCheck: true}
+		}
+	}
+	if first == nil || delay > 0 {
+		return probe{}, delay
+	}
+	if p.checkedAt == nil {
+		p.checkedAt = map[string]time.Time{}
+	}
+	p.checkedAt[first.kind] = now
+	return next, 0
+}
+
+// untilCheck returns the time until the next check of a call. The lock must be held.
+func (p *Prober) untilCheck(now time.Time, c *waitingCall) time.Duration {
+	last := p.checkedAt[c.kind]
+	if last.IsZero() {
+		last = c.addedAt
+	}
+	return c.checkInterval - now.Sub(last)
+}
+
+// nextInTurn returns the call whose last probe in turn was longest ago, or nil without a
+// call. While the store is silent, calls with a check are probed in turn too. The lock must be
+// held.
+func (p *Prober) nextInTurn() (oldest *waitingCall, id uint64) {
 	for callID, c := range p.waiting {
+		if c.check != nil && p.lastErr == nil {
+			continue
+		}
 		if oldest == nil || c.lastProbe < oldest.lastProbe || (c.lastProbe == oldest.lastProbe && callID < id) {
 			id, oldest = callID, c
 		}
 	}
-	if oldest == nil {
-		return 0, nil, p.updated.Next(), 0
-	}
-	p.probes++
-	oldest.lastProbe = p.probes
-	return id, oldest.probe, nil, 0
+	return oldest, id
 }
 
 // recordProbe records the result of a probe for the call id, or for none if id is 0, and
@@ -180,19 +275,19 @@
 // probe shows that the call is silent or behind. The caller must call release after the
 // call. While the store is silent, guard returns an error as soon as the store responds
 // again, or after recoveryWait.
-func (p *Prober) guard(ctx context.Context, probe probeFunc, confirm func(time.Time)) (guarded context.Context, release func(), err error) {
+func (p *Prober) guard(ctx context.Context, call waitingCall) (guarded context.Context, release func(), err error) {
 	if p.probeIsStale() {
-		p.runProbe(ctx, 0, probe)
+		p.runProbe(ctx, probe{run: call.probe})
 	} else {
 		p.awaitProbe(ctx)
 	}
-	if err := p.awaitRecovery(ctx, probe); err != nil {
+	if err := p.awaitRecovery(ctx, call.probe); err != nil {
 		return nil, nil, err
 	}
-	guarded, cancel := context.WithCancelCause(ctx)
-	id := p.addCall(&waitingCall{probe: probe, cancel: cancel, confirm: confirm})
+	guarded, call.cancel = context.WithCancelCause(ctx)
+	id := p.addCall(&call)
 	return guarded, func() {
-		cancel(context.Canceled)
+		call.cancel(context.Canceled)
 		p.removeCall(id)
 	}, nil
 }
@@ -228,7 +323,7 @@
 	p.lastID++
 	c.lastProbe, c.addedAt = p.probes, p.time()
 	p.waiting[p.lastID] = c
-	if len(p.waiting) == 1 {
+	if len(p.waiting) == 1 || c.check != nil {
 		p.updated.Broadcast()
 	}
 	return p.lastID
@@ -281,11 +376,14 @@
 	// Confirmed, if not nil, is called while Changes waits, with each time at which the
 	// store responded and had no changes to return. It must not block.
 	Confirmed func(at time.Time)
+	// CheckInterval is the time between two checks for changes that a waiting call did not
+	// return. 0 means that stale reads in turn with those of other kinds suffice.
+	CheckInterval time.Duration
 }
 
 // List returns all objects.
 func (g Guarded[T]) List(ctx context.Context) (platform.Listing[T], error) {
-	guarded, release, err := g.Prober.guard(ctx, g.probe(0), nil)
+	guarded, release, err := g.Prober.guard(ctx, waitingCall{probe: g.probe(0)})
 	if err != nil {
 		return platform.Listing[T]{}, err
 	}
@@ -296,7 +394,11 @@
 
 // Changes waits for changes after a version.
 func (g Guarded[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[T], platform.StoreVersion, error) {
-	guarded, release, err := g.Prober.guard(ctx, g.probe(after), g.Confirmed)
+	call := waitingCall{probe: g.probe(after), confirm: g.Confirmed}
+	if g.CheckInterval > 0 {
+		call.check, call.kind, call.checkInterval = g.check(after), g.Kind(), g.CheckInterval
+	}
+	guarded, release, err := g.Prober.guard(ctx, call)
 	if err != nil {
 		return nil, after, err
 	}
@@ -309,6 +411,18 @@
 	return func(ctx context.Context) (bool, error) { return g.Look(ctx, after) }
 }
 
+// check reports whether there are changes after a version, by a read that is not stale.
+func (g Guarded[T]) check(after platform.StoreVersion) probeFunc {
+	return func(ctx context.Context) (bool, error) {
+		changes, _, err := g.Probeable.Changes(ctx, after, 0)
+		var dropped *platform.Error
+		if errors.As(err, &dropped) && dropped.Kind == platform.Compacted {
+			return true, nil
+		}
+		return len(changes) > 0, err
+	}
+}
+
 // cause returns the Error with which a Prober cancelled the call, or else err.
 func cause(ctx context.Context, err error) error {
 	var ended *Error
