mirror: read the store and other VMs at the same time

Callers saw: requests run by services that a change had taken from their route, and 404 on routes that were there, on a VM that the store refused while it served others. Cause: a reader did one thing at a time. It waited up to 1 s for a silent store to respond and up to 1.3 s for each VM before it asked the next one, and asked again without a wait once its objects were too old. Each VM of a path added such a period, and a path was kept however long. A VM that failed once was left out for 5 s, by all kinds. Change: the store and other VMs are read at the same time, and the first changes count. Other VMs are asked one after the other as soon as objects are too old, without waiting for the previous one; a VM without a path waits for one before it answers; the VM that reads the store itself is asked first in small regions; a VM that failed is asked last, not left out. A pause after a failed read ends when the store may be called again.

--- a/serve/mirror/age.go
+++ b/serve/mirror/age.go
@@ -65,13 +65,13 @@
 }
 
 // RetryWithin returns the longest pause after a read that failed: the objects must not
-// exceed the maximum age during a pause, unless the store does not serve this VM.
+// exceed the maximum age during a pause, unless the store has just failed to serve this VM.
 func (r *Reader[T]) RetryWithin() time.Duration {
 	left, limited := r.timeLeft(r.cache.ConfirmedAt())
-	if !limited || r.time().Sub(r.storeFailedAt) < storeRetryInterval {
+	if !limited {
 		return math.MaxInt64
 	}
-	return max(left, minRetryDelay)
+	return max(left, overdueRetryInterval-r.time().Sub(r.storeFailedAt), minRetryDelay)
 }
 
 // Confirm records that the store had no other objects at a time, if this VM reads the store
--- a/serve/mirror/ask.go
+++ b/serve/mirror/ask.go
@@ -39,12 +39,18 @@
 	return platform.Listing[T]{Items: present, Version: a.Version}, origin, accepted
 }
 
-// relay returns the VM through which this VM last read without being its mirror, or "".
-func (r *Reader[T]) relay() ident.VMID {
-	if len(r.lastDetour.Path) == 0 {
-		return ""
+// relays returns the VMs to ask first by a VM that reads through one that is not its mirror:
+// the one that reads the store itself, unless more VMs than can read from one may do so, and
+// the one that answered last.
+func (r *Reader[T]) relays() []ident.VMID {
+	path := r.lastDetour.Path
+	if len(path) == 0 {
+		return nil
+	}
+	if _, vms := r.selector.Position(); vms > fanout {
+		return path[:1]
 	}
-	return r.lastDetour.Path[0]
+	return []ident.VMID{path[len(path)-1], path[0]}
 }
 
 // askMirrors asks the mirrors in turn until one answers. It returns how many were asked and
@@ -75,25 +81,6 @@
 	return Answer[T]{}, Origin{}, false, asked, responded
 }
 
-// askOthers asks VMs that are not mirrors of this one. Only one silent VM is waited for.
-func (r *Reader[T]) askOthers(ctx context.Context, after platform.StoreVersion, wait time.Duration) (Answer[T], bool) {
-	wait = min(wait, questionWait)
-	for _, m := range r.selector.Others(r.time(), r.relay()) {
-		a, origin, result := r.ask(ctx, m, Question{Kind: r.Kind(), After: after, Wait: wait, Disconnected: true})
-		if result == silent {
-			wait = 0
-		}
-		if result != accepted {
-			continue
-		}
-		if a.Outcome == OK {
-			r.cache.ApplyWhileDisconnected(a.Changes, a.Version, origin)
-		}
-		return a, true
-	}
-	return Answer[T]{}, false
-}
-
 var (
 	errHistoryDropped = errors.New("the mirror dropped the history asked for")
 	errNoPath         = errors.New("no VM has a path to the store")
@@ -111,10 +98,13 @@
 // store has changes that the call could not return. The answer of another VM, which may be
 // in the same state, must not replace such an error.
 func storeAnswered(err error) bool {
-	var dropped *platform.Error
-	var ended *watch.Error
-	return errors.As(err, &dropped) && dropped.Kind == platform.Compacted ||
-		errors.As(err, &ended) && ended.Kind == watch.Behind
+	return isCompacted(err) || isWatchError(err, watch.Behind)
+}
+
+// isCompacted reports whether the caller has to list all objects again.
+func isCompacted(err error) bool {
+	var e *platform.Error
+	return errors.As(err, &e) && e.Kind == platform.Compacted
 }
 
 // isWatchError reports whether a call failed because of what a prober found.
@@ -126,30 +116,46 @@
 // ask sends a question to a mirror. If the mirror fails or is disconnected, ask excludes
 // it for some time.
 func (r *Reader[T]) ask(ctx context.Context, m Member, q Question) (Answer[T], Origin, askResult) {
-	asked := r.time()
-	a, result := r.askOnce(ctx, m, q, asked)
-	r.outages.countQuestion(result)
-	// The question arrived later than it was asked, so this is a lower bound.
-	return a, Origin{a.Path, asked.Add(a.Confirmed)}, result
+	reply := vmReply{from: m, question: q, asked: r.time()}
+	reply.answer, reply.err = r.send(ctx, m, q)
+	return r.accept(reply)
 }
 
-func (r *Reader[T]) askOnce(ctx context.Context, m Member, q Question, asked time.Time) (Answer[T], askResult) {
+// send sends a question to another VM and waits for its answer.
+func (r *Reader[T]) send(ctx context.Context, m Member, q Question) (Answer[[]byte], error) {
 	timeout := q.Wait + answerTimeout
-	if q.Wait == 0 {
+	switch {
+	case q.Disconnected && r.MaxAge > 0:
+		// Others are asked meanwhile.
+	case q.Wait == 0:
 		timeout = immediateAnswerTimeout
-	}
-	if q.After > 0 {
-		q.Wait, timeout = r.limitWait(q.Wait, timeout)
+		fallthrough
+	default:
+		if q.After > 0 {
+			q.Wait, timeout = r.limitWait(q.Wait, timeout)
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	received, err := r.transport.Ask(ctx, m, q)
-	if err != nil {
+	return r.transport.Ask(ctx, m, q)
+}
+
+// accept decodes a reply. It excludes a VM that failed or is disconnected for some time.
+func (r *Reader[T]) accept(reply vmReply) (Answer[T], Origin, askResult) {
+	a, result := r.decode(reply)
+	r.outages.countQuestion(result)
+	// The question arrived later than it was asked, so this is a lower bound.
+	return a, Origin{a.Path, reply.asked.Add(a.Confirmed)}, result
+}
+
+func (r *Reader[T]) decode(reply vmReply) (Answer[T], askResult) {
+	m, received := reply.from, reply.answer
+	if reply.err != nil {
 		r.selector.Exclude(r.time().Add(failedExclusion), m.VM)
 		return Answer[T]{}, silent
 	}
 	path := append([]ident.VMID{m.VM}, received.Path...)
-	if received.Outcome == Disconnected || len(path) > maxPath || !r.selector.accepts(r.time(), received.Path) || r.isTooOld(received, asked) {
+	if received.Outcome == Disconnected || len(path) > maxPath || !r.selector.accepts(r.time(), received.Path) || r.isTooOld(received, reply.asked) {
 		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
 		return Answer[T]{}, rejected
 	}
@@ -160,6 +166,7 @@
 	for _, c := range received.Changes {
 		decoded := platform.Change[T]{Name: c.Name, Deleted: c.Deleted}
 		if !c.Deleted {
+			var err error
 			if decoded.Value, err = r.codec.Unmarshal(c.Value); err != nil {
 				// One object that cannot be decoded must not hide the others.
 				decoded.Deleted = true
--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -247,14 +247,15 @@
 
 // relay answers a question of a disconnected VM: with all objects if after is 0, and
 // otherwise with the changes after that version as soon as there are any or the store has
-// confirmed that there are none, or with none after wait.
+// confirmed that there are none, or with none after wait. A cache without a path waits for
+// one meanwhile.
 func (c *Cache[T]) relay(ctx context.Context, after platform.StoreVersion, wait time.Duration) Answer[T] {
 	arrived := c.time()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		a, updated := c.relayNow(after, arrived)
-		if a.Outcome != OK || after == 0 || len(a.Changes) > 0 || a.Confirmed > 0 || wait <= 0 {
+		if a.Outcome == Compacted || after == 0 || len(a.Changes) > 0 || a.Confirmed > 0 || wait <= 0 {
 			return a
 		}
 		select {
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -55,6 +55,9 @@
 	// fails and the questions to other VMs, it must fit into the time within which a change
 	// must be in force.
 	storeRetryInterval = 3 * time.Second
+	// overdueRetryInterval replaces storeRetryInterval for a VM whose objects exceed the
+	// maximum age.
+	overdueRetryInterval = storeRetryInterval / 2
 	// A VM that is no scout and whose mirrors answer that they are disconnected calls the
 	// store minPathPatience after it lost its path, and up to patienceSpread later the
 	// further back it is in the order. By then most have a path through a scout.
@@ -103,6 +106,9 @@
 	// storeRecoveredAt is when a call found that the store responds again; zero once the
 	// store or a mirror was read. It is only accessed by List and Changes.
 	storeRecoveredAt time.Time
+	// storeErr is the error of the last call to the store; nil if it succeeded. It is only
+	// accessed by Changes.
+	storeErr error
 	// emptyWatches are the last reads from the store that returned no changes. It is only
 	// accessed by Changes.
 	emptyWatches emptyWatches
@@ -210,7 +216,7 @@
 	}
 	r.cache.MarkDisconnected()
 	question = Question{Kind: r.Kind(), Disconnected: true}
-	for _, m := range r.selector.Others(r.time(), r.relay()) {
+	for _, m := range r.selector.Others(r.time(), r.relays()) {
 		if l, origin, result := r.askListing(ctx, m, question); result == accepted {
 			r.cache.SetListingWhileDisconnected(l, origin)
 			r.recordAnswer(origin.Path)
@@ -247,7 +253,7 @@
 		return true
 	}
 	now := r.time()
-	if r.isOverdue() && r.storeRecoveredAt.IsZero() && now.Sub(r.storeFailedAt) >= storeRetryInterval {
+	if r.isOverdue() && r.storeRecoveredAt.IsZero() && now.Sub(r.storeFailedAt) >= overdueRetryInterval {
 		return true
 	}
 	if r.pathLostAt.IsZero() {
@@ -295,29 +301,16 @@
 		// receive its state.
 		wait = 0
 	}
-	if r.shouldReadStore(responded > 0 || r.selector.HasDisconnectedMirror(began)) {
-		if changes, version, err = r.readStore(ctx, after, wait); err == nil || storeAnswered(err) {
-			// The listing that follows an answer needs no further wait.
-			r.storeCalledAt = time.Time{}
-			return changes, version, err
-		}
-		r.recordStoreFailure(err)
-	} else {
+	callStore := r.shouldReadStore(responded > 0 || r.selector.HasDisconnectedMirror(began))
+	if !callStore {
 		r.outages.current.Deferred++
 	}
-	if a, ok := r.askOthers(ctx, after, wait); ok {
-		if a.Outcome == Compacted {
-			return nil, after, compacted()
-		}
-		r.reportDetour(Detour{Kind: r.Kind(), Path: a.Path, After: after, Version: a.Version, StoreErr: err})
-		r.recordAnswer(a.Path)
-		return a.Changes, a.Version, nil
+	changes, version, err = r.readStoreOrOthers(ctx, after, wait, callStore)
+	if err == nil || storeAnswered(err) {
+		return changes, version, err
 	}
 	r.cache.MarkUnreachable()
 	r.outages.begin(began)
-	if err == nil {
-		err = noPath()
-	}
 	switch {
 	case r.selector.ReadsStore():
 	case isWatchError(err, watch.Silent):
@@ -340,31 +333,6 @@
 	return r.mayCallStore(responded)
 }
 
-// readStore waits for changes in the store.
-func (r *Reader[T]) readStore(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[T], platform.StoreVersion, error) {
-	if !r.selector.ReadsStore() {
-		wait = min(wait, minStoreWait<<min(r.storeReads, maxStoreDoublings))
-		r.storeReads++
-	}
-	calledAt := r.time()
-	r.storeCalledAt, r.storeRecoveredAt = calledAt, time.Time{}
-	changes, version, err := r.source.Changes(ctx, r.emptyWatches.continueFrom(calledAt, after), wait)
-	if err != nil {
-		if !storeAnswered(err) {
-			r.cache.MarkDisconnected()
-		}
-		return nil, after, err
-	}
-	if len(changes) == 0 {
-		r.emptyWatches.add(calledAt, after, version)
-	}
-	r.cache.Apply(changes, version, Origin{ConfirmedAt: calledAt})
-	r.recordPath()
-	r.lastDetour = Detour{}
-	r.recordAnswer(nil)
-	return changes, version, nil
-}
-
 // Answer answers a question of another VM.
 func (r *Reader[T]) Answer(ctx context.Context, q Question) Answer[[]byte] {
 	wait := min(q.Wait, maxMirrorWait)
--- a/serve/mirror/refused_test.go
+++ b/serve/mirror/refused_test.go
@@ -109,6 +109,75 @@
 	return greatest
 }
 
+// changesDuring returns changes at random times within a span.
+func changesDuring(random *rand.Rand, s span) []time.Duration {
+	var out []time.Duration
+	for at := s.from; at < s.to; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(time.Second)) {
+		out = append(out, at)
+	}
+	return out
+}
+
+// TestRefusedVMsReadChangesThroughOthers guards against routes that stay in force for too
+// long in a VM that the store refuses, or does not answer, while it serves another one: the
+// VM waits for the store before it asks others, and so do those that it asks. Each VM has a
+// change within half of the time in which it must be in force.
+func TestRefusedVMsReadChangesThroughOthers(t *testing.T) {
+	for _, isSilent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent: ", isSilent), func(t *testing.T) {
+			var greatest time.Duration
+			for seed := range seriesSeeds() {
+				random := rand.New(rand.NewPCG(seed, 2))
+				refused := span{5 * time.Second, 17 * time.Second}
+				served := random.IntN(4)
+				lag := playSmall(t, func(vms []*seriesVM) {
+					for i, v := range vms {
+						if i != served {
+							v.outages = []storeOutage{{refused, isSilent}}
+						}
+					}
+				}, changesDuring(random, refused))
+				greatest = max(greatest, lag)
+			}
+			t.Logf("the greatest lag: %v", greatest)
+			if greatest > smallApplyWithin/2 {
+				t.Errorf("a VM had a change after %v, allowed: %v", greatest, smallApplyWithin/2)
+			}
+		})
+	}
+}
+
+// TestTheServedVMChanges guards against waits for a VM that the store no longer serves, while
+// it serves one that it refused before.
+func TestTheServedVMChanges(t *testing.T) {
+	var greatest time.Duration
+	for seed := range seriesSeeds() {
+		random := rand.New(rand.NewPCG(seed, 3))
+		at := 5 * time.Second
+		outages := make([][]storeOutage, 4)
+		for range 5 {
+			lasts := time.Duration((1 + 4*random.Float64()) * float64(time.Second))
+			served := random.IntN(4)
+			for i := range outages {
+				if i != served {
+					outages[i] = append(outages[i], storeOutage{span{at, at + lasts}, random.IntN(2) == 0})
+				}
+			}
+			at += lasts
+		}
+		lag := playSmall(t, func(vms []*seriesVM) {
+			for i, v := range vms {
+				v.outages = outages[i]
+			}
+		}, changesDuring(random, span{5 * time.Second, at}))
+		greatest = max(greatest, lag)
+	}
+	t.Logf("the greatest lag: %v", greatest)
+	if greatest > smallApplyWithin/2 {
+		t.Errorf("a VM had a change after %v, allowed: %v", greatest, smallApplyWithin/2)
+	}
+}
+
 // TestChangesAreReadOnceAWatchIsDead guards against a watch whose connection is dead while
 // probes on other connections succeed, which confirmed objects that were out of date.
 func TestChangesAreReadOnceAWatchIsDead(t *testing.T) {
--- a/serve/mirror/selector.go
+++ b/serve/mirror/selector.go
@@ -142,32 +142,33 @@
 // reached: those that follow this VM in the order, then those that precede it, so that
 // the members at the head of the order are not asked by all. They alternate between the
 // availability zones, because a VM that is cut off from one VM of a zone is often cut off
-// from all of them. A VM that is disconnected as a mirror may still have a path. The VM
-// relay comes first: it had a path last.
-func (s *Selector) Others(now time.Time, relay ident.VMID) []Member {
+// from all of them. A VM that is disconnected as a mirror may still have a path. The VMs
+// preferred come first, those that did not answer last: a single lost answer must not leave
+// this VM without any to ask.
+func (s *Selector) Others(now time.Time, preferred []ident.VMID) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.countBefore(s.regionOrder)
 	others := slices.Concat(s.regionOrder[before:], s.regionOrder[:before])
-	others = slices.DeleteFunc(others, func(m Member) bool { return m.VM == s.self.VM || now.Before(s.failedUntil[m.VM]) })
+	others = slices.DeleteFunc(others, func(m Member) bool { return m.VM == s.self.VM })
 	others = alternateZones(others)
-	if len(others) <= maxCandidates {
-		return others
+	if len(others) > maxCandidates {
+		// Each call starts elsewhere, so that a VM with a path is found wherever it is.
+		s.othersTurn++
+		start := int(weight(s.self.VM+ident.VMID(strconv.Itoa(s.othersTurn))) % uint64(len(others)))
+		others = slices.Concat(others[start:], others[:start])
 	}
-	// Each call starts elsewhere, so that a VM with a path is found wherever it is.
-	s.othersTurn++
-	start := int(weight(s.self.VM+ident.VMID(strconv.Itoa(s.othersTurn))) % uint64(len(others)))
-	others = slices.Concat(others[start:], others[:start])
-	slices.SortStableFunc(others, func(a, b Member) int { return preference(a, relay) - preference(b, relay) })
-	return others[:maxCandidates]
-}
-
-// preference returns 0 for the VM relay and 1 for every other one.
-func preference(m Member, relay ident.VMID) int {
-	if m.VM == relay {
-		return 0
+	rank := func(m Member) int {
+		if now.Before(s.failedUntil[m.VM]) {
+			return len(preferred) + 1
+		}
+		if i := slices.Index(preferred, m.VM); i >= 0 {
+			return i
+		}
+		return len(preferred)
 	}
-	return 1
+	slices.SortStableFunc(others, func(a, b Member) int { return rank(a) - rank(b) })
+	return others[:min(len(others), maxCandidates)]
 }
 
 // alternateZones returns the members with the first one of each availability zone before
