peer, vm: read through a VM that restarted since the list of VMs was read

Cause: each process has a new certificate, whose digest is in the list of VMs, which is read from the store only. A VM that the store refuses could not verify the restarted one, and a VM that restarts was refused by the others until they read the list again, up to 10 s later. Change: a certificate that is not the listed one makes a VM read the list again, at most once a second. While a VM reads neither the store nor a mirror, it accepts such a certificate of a listed VM that it dialled at its listed address. Callers are still refused.

--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -230,6 +230,13 @@
 	return c.connected && c.version > 0 && len(c.path) == 0
 }
 
+// isConnected reports whether the last read succeeded, from the store or a mirror.
+func (c *Cache[T]) isConnected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.connected
+}
+
 // isRelayed reports whether this VM reads through one that is not its mirror.
 func (c *Cache[T]) isRelayed() bool {
 	c.mu.Lock()
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -183,6 +183,10 @@
 // changed since they were read. It may be called from several goroutines.
 func (r *Reader[T]) Outdated() bool { return r.cache.outdated() }
 
+// Connected reports whether the last read succeeded, from the store or a mirror. It may be
+// called from several goroutines.
+func (r *Reader[T]) Connected() bool { return r.cache.isConnected() }
+
 // List returns all objects.
 func (r *Reader[T]) List(ctx context.Context) (platform.Listing[T], error) {
 	began := r.time()
--- a/serve/peer/pinned.go
+++ b/serve/peer/pinned.go
@@ -24,12 +24,19 @@
 	config       *tls.Config
 	digest       string
 	lookupDigest func(vm ident.VMID) (digest string, ok bool)
+	unlisted     Unlisted
 }
 
+// An Unlisted is called for a certificate that names a listed VM but is not the listed one:
+// the VM has restarted since the list was read, or something else uses its name. It returns
+// whether to accept the certificate of a VM that was dialled at its listed address. It may be
+// called from several goroutines and must not block.
+type Unlisted func(vm ident.VMID) bool
+
 // NewPinned returns the identity of a VM with a new key and certificate.
 // lookupDigest returns the listed digest of another VM's certificate; it may be
-// called from several goroutines.
-func NewPinned(vm ident.VMID, lookupDigest func(ident.VMID) (string, bool)) (*Pinned, error) {
+// called from several goroutines. Without unlisted, other certificates are refused.
+func NewPinned(vm ident.VMID, lookupDigest func(ident.VMID) (string, bool), unlisted Unlisted) (*Pinned, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, &Error{"pinned", BadKeys, err}
@@ -43,7 +50,7 @@
 	if err != nil {
 		return nil, &Error{"pinned", BadKeys, err}
 	}
-	p := &Pinned{digest: certificateDigest(der), lookupDigest: lookupDigest}
+	p := &Pinned{digest: certificateDigest(der), lookupDigest: lookupDigest, unlisted: unlisted}
 	p.config = &tls.Config{
 		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
 		ClientAuth:   tls.RequireAnyClientCert,
@@ -68,7 +75,7 @@
 
 // verify returns a function for tls.Config.VerifyPeerCertificate. It accepts a
 // certificate whose digest is listed for the one VM that it names. When expected
-// is not empty, the certificate must name that VM.
+// is not empty, the certificate must name that VM, which was dialled.
 func (p *Pinned) verify(expected ident.VMID) func([][]byte, [][]*x509.Certificate) error {
 	return func(raw [][]byte, _ [][]*x509.Certificate) error {
 		if len(raw) == 0 {
@@ -83,10 +90,15 @@
 		}
 		name := ident.VMID(certificate.DNSNames[0])
 		listed, ok := p.lookupDigest(name)
-		if !ok || listed != certificateDigest(raw[0]) || (expected != "" && name != expected) {
-			return &Error{"verify", Refused, fmt.Errorf("the certificate of VM %q has an unlisted digest or an unexpected name", name)}
+		if ok && (expected == "" || name == expected) {
+			if listed == certificateDigest(raw[0]) {
+				return nil
+			}
+			if p.unlisted != nil && p.unlisted(name) && expected != "" {
+				return nil
+			}
 		}
-		return nil
+		return &Error{"verify", Refused, fmt.Errorf("the certificate of VM %q has an unlisted digest or an unexpected name", name)}
 	}
 }
 
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -88,7 +88,7 @@
 	v.addOrderReader(m)
 	v.mirrors = m
 	var err error
-	if m.identity, err = peer.NewPinned(self.VM, m.selector.Certificate); err != nil {
+	if m.identity, err = peer.NewPinned(self.VM, m.selector.Certificate, v.acceptUnlisted); err != nil {
 		return &Error{"peers", CannotStart, err}
 	}
 	if v.peers, err = peer.Listen(self.Address, m.identity, peerHandler{v}); err != nil {
@@ -115,6 +115,20 @@
 	return r
 }
 
+// acceptUnlisted handles a certificate of a VM that is not the listed one: the VM may have
+// restarted. It asks for a new list of VMs, and accepts the certificate if this VM reads
+// neither the store nor a mirror and so can't get one. The address of the VM then has to do,
+// as for the store itself.
+func (v *VM) acceptUnlisted(vm ident.VMID) bool {
+	select {
+	case v.listOutdated <- struct{}{}:
+	default:
+	}
+	accept := !v.mirrors.readers.configurations.Connected()
+	v.log.Info().Str("vm", string(vm)).Bool("accepted", accept).Msg("certificate-not-listed")
+	return accept
+}
+
 // A mirrorVar describes the objects of one kind in the metrics.
 type mirrorVar struct {
 	Version platform.StoreVersion `json:"version"`
--- a/serve/watch/watch.go
+++ b/serve/watch/watch.go
@@ -42,6 +42,9 @@
 	InitialConfiguration config.Configuration
 	// Enabled receives whether this VM should watch the platform.
 	Enabled <-chan bool
+	// Refresh, if not nil, receives when the list of VMs should be read before the next read
+	// is due.
+	Refresh <-chan struct{}
 	// MaxListInterval is the longest time between two reads of the list of VMs. The time
 	// starts at minListInterval and doubles with each read up to MaxListInterval; 0 means
 	// minListInterval.
@@ -152,14 +155,30 @@
 			clock.Sleep(ctx, backoff.Next(rand.Float64()))
 			continue
 		default:
-			clock.Sleep(ctx, jittered(max(interval*3/4, minListInterval)))
+			w.awaitListing(ctx, jittered(max(interval*3/4, minListInterval)))
 			continue
 		}
-		clock.Sleep(ctx, jittered(interval))
+		w.awaitListing(ctx, jittered(interval))
 		interval = min(2*interval, max(w.MaxListInterval, minListInterval))
 	}
 }
 
+// awaitListing waits until the next read of the list of VMs, for at least minListInterval
+// unless interval is shorter.
+func (w *Watcher) awaitListing(ctx context.Context, interval time.Duration) {
+	shortest := min(interval, minListInterval)
+	if !clock.Sleep(ctx, shortest) {
+		return
+	}
+	timer := time.NewTimer(interval - shortest)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.Refresh:
+	case <-ctx.Done():
+	}
+}
+
 // jittered shortens an interval at random by up to listJitter of it.
 func jittered(interval time.Duration) time.Duration {
 	return interval - time.Duration(rand.Float64()*listJitter*float64(interval))
--- a/serve/watch/watch_test.go
+++ b/serve/watch/watch_test.go
@@ -83,3 +83,31 @@
 		t.Error("no list within a second after the outage")
 	}
 }
+
+// TestRefreshReadsTheList guards against VMs that restarted and stay refused, by their new
+// certificates, until the list of VMs is read at its usual interval of seconds.
+func TestRefreshReadsTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refresh := make(chan struct{}, 1)
+		store := &pollStore{}
+		w := &Watcher{Store: store, Listener: &countingListener{}, MaxListInterval: 10 * time.Second, Refresh: refresh}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { w.PollVMs(ctx); close(ended) }()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		at := time.Since(store.first)
+		for range 20 {
+			select {
+			case refresh <- struct{}{}:
+			default:
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		cancel()
+		<-ended
+		if n := store.callsBetween(at, at+2*minListInterval); n < 1 || n > 3 {
+			t.Errorf("%d reads of the list in %v, expected 1 to 3", n, 2*minListInterval)
+		}
+	})
+}
