mirror: list the objects of a VM that dropped the history, and others beside the store

Callers saw: old routes for seconds after the only VM that the store served had restarted. Cause: it holds no history, so the others have to list again, and a listing waited for the silent store before it asked any VM, also the one that had just answered. Change: the VM that answered that it does not hold the history is asked for all objects first; other VMs are asked when the store does not list within 0.3 s; all objects of a VM that is no mirror must not exceed the maximum age.

--- a/serve/mirror/age.go
+++ b/serve/mirror/age.go
@@ -42,13 +42,14 @@
 	return limited && left <= 0
 }
 
-// isTooOld reports whether an answer with nothing new must not be used, because its objects
-// exceed the maximum age.
-func (r *Reader[T]) isTooOld(a Answer[[]byte], asked time.Time) bool {
-	if a.Outcome != OK || len(a.Changes) > 0 {
+// isTooOld reports whether a reply must not be used because its objects exceed the maximum
+// age: one with nothing new, or all objects of a VM that is no mirror of this one.
+func (r *Reader[T]) isTooOld(reply vmReply) bool {
+	a, q := reply.answer, reply.question
+	if a.Outcome != OK || len(a.Changes) > 0 && (q.After > 0 || !q.Disconnected) {
 		return false
 	}
-	left, limited := r.timeLeft(asked.Add(a.Confirmed))
+	left, limited := r.timeLeft(reply.asked.Add(a.Confirmed))
 	return limited && left <= 0
 }
 
--- a/serve/mirror/ask.go
+++ b/serve/mirror/ask.go
@@ -155,7 +155,7 @@
 		return Answer[T]{}, silent
 	}
 	path := append([]ident.VMID{m.VM}, received.Path...)
-	if received.Outcome == Disconnected || len(path) > maxPath || !r.selector.accepts(r.time(), received.Path) || r.isTooOld(received, reply.asked) {
+	if received.Outcome == Disconnected || len(path) > maxPath || !r.selector.accepts(r.time(), received.Path) || r.isTooOld(reply) {
 		r.selector.ExcludeDisconnected(r.time().Add(disconnectedExclusion), m.VM)
 		return Answer[T]{}, rejected
 	}
--- a/serve/mirror/reader.go
+++ b/serve/mirror/reader.go
@@ -109,6 +109,9 @@
 	// storeErr is the error of the last call to the store; nil if it succeeded. It is only
 	// accessed by Changes.
 	storeErr error
+	// ahead is the VM, no mirror of this one, that answered last that it does not hold the
+	// history asked for; zero if none did. It is only accessed by List and Changes.
+	ahead Member
 	// emptyWatches are the last reads from the store that returned no changes. It is only
 	// accessed by Changes.
 	emptyWatches emptyWatches
@@ -190,6 +193,9 @@
 // List returns all objects.
 func (r *Reader[T]) List(ctx context.Context) (platform.Listing[T], error) {
 	began := r.time()
+	if l, ok := r.listAhead(ctx); ok {
+		return l, nil
+	}
 	question := Question{Kind: r.Kind()}
 	if r.cache.Version() == 0 {
 		question.Wait = r.InitialListWait
@@ -210,38 +216,10 @@
 		}
 	}
 	// The store is known to be ahead of a mirror that is behind.
-	calledAt := r.time()
-	l, err := r.listStore(ctx, responded && !isBehind)
-	if err == nil {
-		r.cache.SetListing(l, Origin{ConfirmedAt: calledAt})
-		r.recordPath()
-		r.recordAnswer(nil)
-		return l, nil
-	}
-	r.cache.MarkDisconnected()
-	question = Question{Kind: r.Kind(), Disconnected: true}
-	for _, m := range r.selector.Others(r.time(), r.relays()) {
-		if l, origin, result := r.askListing(ctx, m, question); result == accepted {
-			r.cache.SetListingWhileDisconnected(l, origin)
-			r.recordAnswer(origin.Path)
-			return l, nil
-		}
-	}
-	r.cache.MarkUnreachable()
-	r.outages.begin(began)
-	return l, err
-}
-
-// listStore lists the store, unless it is the turn of other VMs to call it.
-func (r *Reader[T]) listStore(ctx context.Context, responded bool) (platform.Listing[T], error) {
-	if !r.mayCallStore(responded) {
-		r.outages.current.Deferred++
-		return platform.Listing[T]{}, noPath()
-	}
-	r.storeCalledAt, r.storeRecoveredAt = r.time(), time.Time{}
-	l, err := r.source.List(ctx)
+	l, err := r.listStoreOrOthers(ctx, responded && !isBehind)
 	if err != nil {
-		r.recordStoreFailure(err)
+		r.cache.MarkUnreachable()
+		r.outages.begin(began)
 	}
 	return l, err
 }
--- a/serve/mirror/reading.go
+++ b/serve/mirror/reading.go
@@ -125,6 +125,7 @@
 		a, result := s.reader.acceptOther(reply, s.after)
 		switch {
 		case result == accepted && a.Outcome == Compacted:
+			s.reader.ahead = reply.from
 			return true, nil, s.after, compacted()
 		case result == accepted:
 			return true, a.Changes, a.Version, nil
--- a/serve/mirror/refused_test.go
+++ b/serve/mirror/refused_test.go
@@ -10,6 +10,7 @@
 
 	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/platform"
+	"carawaycross.example/carawaycross/serve/clock"
 	"carawaycross.example/carawaycross/serve/mirror"
 	"carawaycross.example/carawaycross/serve/watch"
 )
@@ -89,7 +90,11 @@
 			go func() { prober.Run(ctx); ended <- struct{}{} }()
 		}
 		for _, v := range vms {
-			go func() { v.follow(ctx); ended <- struct{}{} }()
+			go func() {
+				clock.Sleep(ctx, v.startsAt)
+				v.follow(ctx)
+				ended <- struct{}{}
+			}()
 		}
 		for _, at := range changes {
 			time.Sleep(at - s.now())
@@ -178,6 +183,30 @@
 	}
 }
 
+// TestTheOnlyServedVMHasJustStarted guards against waits for the store by VMs that it does
+// not answer, before they list the objects of the only VM that it serves: that one has just
+// started and holds no history.
+func TestTheOnlyServedVMHasJustStarted(t *testing.T) {
+	var greatest time.Duration
+	for seed := range seriesSeeds() {
+		random := rand.New(rand.NewPCG(seed, 5))
+		at := 5*time.Second + time.Duration(random.Int64N(int64(time.Second)))
+		greatest = max(greatest, playSmall(t, func(vms []*seriesVM) {
+			for i, v := range vms {
+				if i == 0 {
+					v.startsAt = at
+				} else {
+					v.outages = []storeOutage{{span{at, time.Hour}, true}}
+				}
+			}
+		}, []time.Duration{at - time.Duration(random.Int64N(int64(time.Second/2))) + time.Second/2, at + time.Second}))
+	}
+	t.Logf("the greatest lag: %v", greatest)
+	if greatest > smallApplyWithin/2 {
+		t.Errorf("a VM had a change after %v, allowed: %v", greatest, smallApplyWithin/2)
+	}
+}
+
 // TestChangesAreReadOnceAWatchIsDead guards against a watch whose connection is dead while
 // probes on other connections succeed, which confirmed objects that were out of date.
 func TestChangesAreReadOnceAWatchIsDead(t *testing.T) {
--- a/serve/mirror/series_test.go
+++ b/serve/mirror/series_test.go
@@ -33,6 +33,8 @@
 	// deadAt when the connections to the store die on which a watch waits.
 	outages []storeOutage
 	deadAt  []time.Duration
+	// startsAt is when the VM starts.
+	startsAt time.Duration
 	// asked counts the questions to other VMs.
 	asked int
 	mu    sync.Mutex
@@ -102,6 +104,9 @@
 	v.awaitWake(ctx)
 	other := v.series.vms[to.VM]
 	clock.Sleep(ctx, seriesLatency)
+	if v.series.now() < other.startsAt {
+		return mirror.Answer[[]byte]{}, errDown
+	}
 	for _, s := range other.refused {
 		if s.includes(v.series.now()) {
 			return mirror.Answer[[]byte]{}, errDown
