peer: kind of its own for a closed transport

Cause: a call of a VM that closes its own transport ended as "queue: unreachable: context canceled".

Change: the kind Closed, for a call that is queued after Close and for one that waits. Nobody compares kinds of this package yet, so nothing else changes.

Test: TestCallsOfAClosedTransportAreNotUnreachable failed with the old kind at either place.

--- a/serve/peer/link_test.go
+++ b/serve/peer/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -131,3 +132,37 @@
 		t.Fatalf("the second call after a restart: %v", err)
 	}
 }
+
+// TestCallsOfAClosedTransportAreNotUnreachable guards against the stop of a VM that its log
+// shows as the loss of the others: neither a call that waits nor a later one may blame the
+// VM that was called.
+func TestCallsOfAClosedTransportAreNotUnreachable(t *testing.T) {
+	a, folder := authority(t), t.TempDir()
+	caller, err := peer.Listen("127.0.0.1:0", issue(t, a, folder, "entry-0"), inbox(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	address := silent.LocalAddr().String()
+	waiting := make(chan error, 1)
+	go func() { waiting <- callWithin(caller, time.Minute, "entry-1", address) }()
+	// The call waits once its first packet has arrived.
+	if _, _, err := silent.ReadFromUDP(make([]byte, 1<<16)); err != nil {
+		t.Fatal(err)
+	}
+	if err := caller.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for name, err := range map[string]error{
+		"the call that waited": <-waiting, "a later call": callWithin(caller, time.Minute, "entry-1", address),
+	} {
+		var e *peer.Error
+		if !errors.As(err, &e) || e.Kind != peer.Closed {
+			t.Errorf("%s: got %v, expected the kind %s", name, err, peer.Closed)
+		}
+	}
+}
--- a/serve/peer/peer.go
+++ b/serve/peer/peer.go
@@ -54,6 +54,9 @@
 	Refused Kind = "refused"
 	// Busy is a message or call that was not queued.
 	Busy Kind = "busy"
+	// Closed is a message or call that ended because this VM closed its Transport. It says
+	// nothing about the other VM.
+	Closed Kind = "closed"
 )
 
 // An Error is a failure to listen, to load or create keys, to verify a peer or
@@ -207,14 +210,18 @@
 	if err := t.enqueue(vm, address, queueItem{body: body, response: response, ctx: ctx}); err != nil {
 		return nil, err
 	}
+	var r callResult
 	select {
-	case r := <-response:
-		return r.body, r.err
+	case r = <-response:
 	case <-ctx.Done():
-		return nil, &Error{"call", Unreachable, fmt.Errorf("%w; %s", ctx.Err(), t.linkState(vm))}
+		r.err = &Error{"call", Unreachable, fmt.Errorf("%w; %s", ctx.Err(), t.linkState(vm))}
 	case <-t.ctx.Done():
-		return nil, &Error{"call", Unreachable, t.ctx.Err()}
+		r.err = t.ctx.Err()
 	}
+	if r.err != nil && t.ctx.Err() != nil {
+		return nil, &Error{"call", Closed, r.err}
+	}
+	return r.body, r.err
 }
 
 // linkState describes the link to a VM, for errors.
@@ -239,7 +246,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err := t.ctx.Err(); err != nil {
-		return &Error{"queue", Unreachable, err}
+		return &Error{"queue", Closed, err}
 	}
 	l := t.links[vm]
 	if l == nil || l.address != address {
@@ -253,7 +260,7 @@
 		t.links[vm] = l
 		if !t.workers.Go(ctx, func(ctx context.Context) { t.sendLoop(ctx, l) }) {
 			l.close()
-			return &Error{"queue", Unreachable, t.ctx.Err()}
+			return &Error{"queue", Closed, t.ctx.Err()}
 		}
 	}
 	l.usedAt = time.Now()
