vm: the own stop and questions given up are not logged as faults

Change: no line where the caller's context was cancelled or the transport is closed. The failures of gossip, of a VM's reach and of watches had this check or log nothing.

The check of platform-repair-failed has no test of its own.

--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -196,6 +196,9 @@
 	mayBeListed := !v.discovery.FirstStart || v.entryVersion.Load() != 0
 	for ctx.Err() == nil {
 		version, err := v.replaceEntry(ctx, entry, mayBeListed)
+		if err != nil && gaveUp(ctx, err) {
+			return
+		}
 		mayBeListed = true
 		if err == nil {
 			v.entryVersion.Store(uint64(version))
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -184,15 +184,22 @@
 
 var errNoAnswer = errors.New("the mirror did not answer")
 
-// Ask sends a question to a mirror and logs the error if there is no answer.
+// Ask sends a question to a mirror and logs the error if the mirror failed to answer.
 func (c mirrorClient) Ask(ctx context.Context, to mirror.Member, q mirror.Question) (mirror.Answer[[]byte], error) {
 	answer, err := c.ask(ctx, to, q)
-	if err != nil {
+	if err != nil && !gaveUp(ctx, err) {
 		c.vm.log.Warn().Str("vm", string(to.VM)).Str("kind", q.Kind).Err(err).Msg("mirror-lost")
 	}
 	return answer, err
 }
 
+// gaveUp reports whether a call failed because this VM no longer wanted its result: it
+// stops, or another VM answered first. A deadline that passed is a failure of the other side.
+func gaveUp(ctx context.Context, err error) bool {
+	var e *peer.Error
+	return errors.Is(ctx.Err(), context.Canceled) || (errors.As(err, &e) && e.Kind == peer.Closed)
+}
+
 func (c mirrorClient) ask(ctx context.Context, to mirror.Member, q mirror.Question) (mirror.Answer[[]byte], error) {
 	body, err := proto.Marshal(&schema.PeerCall{Mirror: mirror.QuestionMessage(q)})
 	if err != nil {
--- a/serve/vm/rollout.go
+++ b/serve/vm/rollout.go
@@ -196,7 +196,7 @@
 		go func() {
 			defer func() { ended <- struct{}{} }()
 			answers, err := v.callRollout(ctx, o)
-			if err != nil {
+			if err != nil && !gaveUp(ctx, err) {
 				v.log.Debug().Str("vm", string(o.To)).Err(err).Msg("rollout-report-unanswered")
 			}
 			// The context of the call may have ended; the control loop still takes the event.
@@ -282,6 +282,9 @@
 			continue
 		}
 		held, err := w.vm.discovery.Rollouts.Writer.WriteStage(ctx, string(x.Order.Service), x.Order.ID, x.Stage)
+		if err != nil && gaveUp(ctx, err) {
+			return
+		}
 		line := w.vm.log.Info()
 		if err != nil {
 			line = w.vm.log.Warn().Err(err)
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -263,7 +263,7 @@
 	for {
 		select {
 		case c := <-v.control.repairs:
-			if err := v.watcher.Repair(ctx, c); err != nil {
+			if err := v.watcher.Repair(ctx, c); err != nil && !gaveUp(ctx, err) {
 				v.log.Warn().Err(err).Msg("platform-repair-failed")
 			}
 		case <-ctx.Done():
--- a/serve/watch/watch.go
+++ b/serve/watch/watch.go
@@ -91,6 +91,9 @@
 		if err == nil {
 			err = w.handleObject(ctx, o, time.Since(started))
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			w.Listener.PlatformFailed(err.Error())
 			clock.Sleep(ctx, backoff.Next(rand.Float64()))
--- a/serve/watch/watch_test.go
+++ b/serve/watch/watch_test.go
@@ -83,3 +83,38 @@
 		t.Error("no list within a second after the outage")
 	}
 }
+
+// A stuckStore holds no configuration and answers no write before the context is done.
+type stuckStore struct{ platform.Store }
+
+func (stuckStore) Get(context.Context, string) (platform.Object, error) {
+	return platform.Object{}, nil
+}
+
+func (stuckStore) Put(ctx context.Context, _ string, _ []byte, _ platform.StoreVersion) (platform.StoreVersion, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// A failureListener counts the failures of the platform.
+type failureListener struct {
+	countingListener
+	failures int
+}
+
+func (l *failureListener) PlatformFailed(string) { l.failures++ }
+
+// TestOwnStopIsNoFailureOfThePlatform guards against a platform that seems to fail when a VM
+// stops, or passes its turn to watch on, during a write.
+func TestOwnStopIsNoFailureOfThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &failureListener{}
+		w := &Watcher{Store: stuckStore{}, Listener: l}
+		ctx, cancel := context.WithTimeout(t.Context(), 2*createDelay)
+		defer cancel()
+		w.follow(ctx)
+		if l.failures > 0 {
+			t.Errorf("%d failures", l.failures)
+		}
+	})
+}
