mirror: report each change of the path

Change: a Reader calls a function with the two paths and the version for each answer that came by another path than the one before it. An outage in between does not hide the change.

Tests: TestPathChangesAreReported, TestPathOutlastsAnOutage; both failed while an outage cleared the last path.

--- a/serve/mirror/outage.go
+++ b/serve/mirror/outage.go
@@ -29,6 +29,8 @@
 // to use.
 type outageLog struct {
 	current Outage
+	// paths holds the path of the last answer. It outlasts an outage.
+	paths pathLog
 	// since is when the first read after the last answer that failed began; zero if none
 	// failed.
 	since time.Time
@@ -56,7 +58,7 @@
 // was none.
 func (l *outageLog) end(now time.Time, path []ident.VMID) (Outage, bool) {
 	o, since := l.current, l.since
-	*l = outageLog{}
+	l.current, l.since = Outage{}, time.Time{}
 	o.Lasted, o.Path = now.Sub(since), path
 	return o, !since.IsZero()
 }
@@ -67,4 +69,7 @@
 		o.Kind, o.Age = r.Kind(), r.cache.freshness(r.time()).Age
 		r.OutageEnded(o)
 	}
+	if from, ok := r.outages.paths.record(path); ok && r.outages.paths.changed != nil {
+		r.outages.paths.changed(PathChange{r.Kind(), from, path, r.cache.Version()})
+	}
 }
