vm: log by which path a version came

Cause: routes-in-force had the version only.

Change: routes-in-force has the age of the routes and their path at that moment; path-changed has the two paths and the version, also on the return to a mirror or the store.

Test: TestRoutesInForceNameTheirPath.

--- a/serve/vm/loop.go
+++ b/serve/vm/loop.go
@@ -16,6 +16,7 @@
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/serve/clock"
 	"carawaycross.example/carawaycross/serve/codec"
+	"carawaycross.example/carawaycross/serve/mirror"
 )
 
 const (
@@ -61,6 +62,9 @@
 	views *view.Publisher
 	peers sender
 	log   zerolog.Logger
+	// routesFreshness describes the routes that were read last; nil if they are not read from
+	// the store. It must be set before run.
+	routesFreshness func() mirror.Freshness
 	// news receives evidence from traffic, which drops it while the channel is full.
 	news  chan node.News
 	inbox chan event
@@ -179,7 +183,11 @@
 func (l *controlLoop) publish(v *view.View) {
 	if v.RoutesVersion != l.routesVersion {
 		l.routesVersion = v.RoutesVersion
-		l.log.Info().Uint64("version", uint64(v.RoutesVersion)).Int("routes", v.Routes.Len()).Msg("routes-in-force")
+		line := l.log.Info().Uint64("version", uint64(v.RoutesVersion)).Int("routes", v.Routes.Len())
+		if l.routesFreshness != nil {
+			line = withOrigin(line, l.routesFreshness())
+		}
+		line.Msg("routes-in-force")
 	}
 	if v.Ready != l.ready {
 		l.ready = v.Ready
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -93,7 +93,7 @@
 	if v.peers, err = peer.Listen(self.Address, m.identity, peerHandler{v}); err != nil {
 		return &Error{"peers", CannotStart, err}
 	}
-	v.control.peers = v.peers
+	v.control.peers, v.control.routesFreshness = v.peers, m.readers.configurations.Freshness
 	return nil
 }
 
@@ -106,6 +106,7 @@
 	r.Now = m.clock.Now
 	r.MaxAge = time.Duration(maxAgeFraction * float64(v.discovery.ApplyWithin))
 	r.Unreadable, r.ReadThroughOthers, r.OutageEnded = v.logUnreadable, v.logDetour, v.logOutage
+	r.OnPathChange(v.logPathChange)
 	if v.discovery.FirstStart {
 		r.InitialListWait = mirror.InitialListWait
 	}
