vm: log and count the spans in which objects are overdue

Change: a goroutine of its own checks the age of each kind twice a second, so that a read that waits does not hide it: objects-overdue when it passes half of the time for a change, and objects-current when it no longer does. Readers call the store at 0.30 to 0.36 of that time, so a calm VM logs neither. The metrics have the greatest age, the changes of the path and the overdue spans.

A VM has one more goroutine, by reading 17 on the platform of the 16 allowed: the last one, which lists the VM, would have waited for ever. The limit is 32.

--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -126,6 +126,7 @@
 	v.serve(ctx, v.gates.ready, ready, d.Ready(func() bool { return v.apiServer.Ready() && !v.cutOff.Load() }))
 	v.group.Go(ctx, v.monitorReach)
 	v.group.Go(ctx, v.mirrors.prober.Run)
+	v.group.Go(ctx, v.monitorAges)
 	r := &v.mirrors.readers
 	v.group.Go(ctx, func(ctx context.Context) { followReader(ctx, v, r.replicas, v.replicaHandler()) })
 	v.group.Go(ctx, func(ctx context.Context) { followReader(ctx, v, r.configurations, v.routesHandler()) })
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -34,9 +34,8 @@
 	// answerFuncs maps each kind to the function that answers questions about it. It is
 	// only written before the transport starts.
 	answerFuncs map[string]func(context.Context, mirror.Question) mirror.Answer[[]byte]
-	// freshness maps each kind to the function that describes the objects held. It is only
-	// written before the transport starts.
-	freshness map[string]func() mirror.Freshness
+	// monitors holds one for each kind. It is only written before the transport starts.
+	monitors map[string]*kindMonitor
 	// clock measures the age of objects.
 	clock *clock.Continuous
 }
@@ -66,7 +65,7 @@
 	}
 	m.prober.Now = m.clock.Now
 	m.answerFuncs = map[string]func(context.Context, mirror.Question) mirror.Answer[[]byte]{}
-	m.freshness = map[string]func() mirror.Freshness{}
+	m.monitors = map[string]*kindMonitor{}
 	m.readers = readers{
 		replicas: newReader(v, m, d.Replicas, mirror.Codec[catalogue.Replica]{
 			Marshal:   func(r catalogue.Replica) ([]byte, error) { return codec.MarshalReplica(v.clock.Now(), r) },
@@ -106,32 +105,18 @@
 	r.Now = m.clock.Now
 	r.MaxAge = time.Duration(maxAgeFraction * float64(v.discovery.ApplyWithin))
 	r.Unreadable, r.ReadThroughOthers, r.OutageEnded = v.logUnreadable, v.logDetour, v.logOutage
-	r.OnPathChange(v.logPathChange)
 	if v.discovery.FirstStart {
 		r.InitialListWait = mirror.InitialListWait
 	}
-	m.answerFuncs[r.Kind()], m.freshness[r.Kind()] = r.Answer, r.Freshness
+	monitor := &kindMonitor{kind: r.Kind(), freshness: r.Freshness}
+	r.OnPathChange(func(c mirror.PathChange) {
+		monitor.pathChanges.Add(1)
+		v.logPathChange(c)
+	})
+	m.answerFuncs[r.Kind()], m.monitors[r.Kind()] = r.Answer, monitor
 	return r
 }
 
-// A mirrorVar describes the objects of one kind in the metrics.
-type mirrorVar struct {
-	Version platform.StoreVersion `json:"version"`
-	// Age is in milliseconds; negative without any objects.
-	Age  int64        `json:"age-ms"`
-	Path []ident.VMID `json:"path"`
-}
-
-// vars returns the metrics of each kind.
-func (m *mirrors) vars() map[string]mirrorVar {
-	out := make(map[string]mirrorVar, len(m.freshness))
-	for kind, freshness := range m.freshness {
-		f := freshness()
-		out[kind] = mirrorVar{f.Version, f.Age.Milliseconds(), f.Path}
-	}
-	return out
-}
-
 func (v *VM) logUnreadable(kind, name string, err error) {
 	v.log.Warn().Str("kind", kind).Str("name", name).Err(err).Msg("mirrored-entry-not-read")
 }
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -37,7 +37,7 @@
 )
 
 const (
-	maxTasks          = 16
+	maxTasks          = 32
 	drainPollInterval = 10 * time.Millisecond
 	// answerMargin is the time before the end of a graceful stop at which the requests
 	// that still wait are answered with what is known. At most answerMarginFraction of
