vm: a watch that missed changes is an event of its own

Cause: a waiting call to the store that a probe ended because the store had changes for it was logged as dependency-lost, as if the store were away.

Change: watch-behind, with the kind and the version after which changes were missed, for each such call, whatever the reader does then; dependency-lost is not logged for it.

Test: TestWatchBehindIsNotALostDependency failed while dependency-lost was logged.

--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -248,7 +248,7 @@
 }
 
 func (d *dependency) recordFailure(err error) {
-	if !d.lost {
+	if !d.lost && !isBehind(err) {
 		d.lost = true
 		d.vm.log.Warn().Str("kind", d.kind).Err(err).Msg("dependency-lost")
 	}
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -100,7 +100,8 @@
 // answer questions about it.
 func newReader[T any](v *VM, m *mirrors, source watch.Probeable[T], valueCodec mirror.Codec[T]) *mirror.Reader[T] {
 	guarded := &watch.Guarded[T]{Probeable: source, Prober: m.prober}
-	r := mirror.NewReader[T](guarded, valueCodec, m.selector, mirrorClient{v})
+	observed := observedSource[T]{Source: guarded, behind: v.logWatchBehind}
+	r := mirror.NewReader[T](observed, valueCodec, m.selector, mirrorClient{v})
 	guarded.Confirmed = r.Confirm
 	r.Now = m.clock.Now
 	r.MaxAge = time.Duration(maxAgeFraction * float64(v.discovery.ApplyWithin))
