--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -36,6 +36,8 @@
 	answerFuncs map[string]func(context.Context, mirror.Question) mirror.Answer[[]byte]
 	// monitors holds one for each kind. It is only written before the transport starts.
 	monitors map[string]*kindMonitor
+	// listed describes the last list of VMs. It is only accessed by updateMirrors.
+	listed *vmList
 	// clock measures the age of objects.
 	clock *clock.Continuous
 }
@@ -147,6 +149,25 @@
 		}
 	}
 	v.mirrors.selector.SetMembers(members)
+	v.logVMList(len(members))
+}
+
+// A vmList describes a list of VMs.
+type vmList struct {
+	// vms counts those that are not shutting down.
+	vms int
+	// position is the number of VMs of the region that precede this one in the order in which
+	// VMs read from each other.
+	position int
+}
+
+// logVMList logs the first list of VMs and each one that differs in what a vmList describes.
+func (v *VM) logVMList(vms int) {
+	position, _ := v.mirrors.selector.Position()
+	if l := (vmList{vms, position}); v.mirrors.listed == nil || *v.mirrors.listed != l {
+		v.mirrors.listed = &l
+		v.log.Info().Int("vms", l.vms).Int("position", l.position).Msg("vms-listed")
+	}
 }
 
 // answerQuestion returns the encoded answer to a mirror question of another VM.
