vm: routes-in-force has the version of the store too

Cause: routes-in-force names the routes' own version, the other lines about late objects that of the store, so that they could not be related to each other.

Change: a field store-version.

Test: TestRoutesInForceNameTheirPath.

--- a/serve/vm/loop.go
+++ b/serve/vm/loop.go
@@ -185,7 +185,8 @@
 		l.routesVersion = v.RoutesVersion
 		line := l.log.Info().Uint64("version", uint64(v.RoutesVersion)).Int("routes", v.Routes.Len())
 		if l.routesFreshness != nil {
-			line = withOrigin(line, l.routesFreshness())
+			f := l.routesFreshness()
+			line = withOrigin(line.Uint64("store-version", uint64(f.Version)), f)
 		}
 		line.Msg("routes-in-force")
 	}
--- a/serve/vm/origins_test.go
+++ b/serve/vm/origins_test.go
@@ -25,7 +25,9 @@
 	}
 	l.publish(&view.View{RoutesVersion: 7, Routes: &route.Table{}})
 	l.publish(&view.View{RoutesVersion: 7, Routes: &route.Table{}})
-	expectLine(t, lines.events(t, "routes-in-force"), map[string]any{"version": 7, "age-ms": 1200, "path": "[vm-1 vm-0]"})
+	expectLine(t, lines.events(t, "routes-in-force"), map[string]any{
+		"version": 7, "store-version": 9, "age-ms": 1200, "path": "[vm-1 vm-0]",
+	})
 }
 
 // TestListOfVMsIsLoggedWhenItDiffers guards against a log that does not show whether a VM
