--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -131,6 +131,7 @@
 	v.serve(ctx, v.gates.ready, ready, d.Ready(func() bool { return v.apiServer.Ready() && !v.cutOff.Load() }))
 	v.group.Go(ctx, v.monitorReach)
 	v.group.Go(ctx, v.mirrors.prober.Run)
+	v.group.Go(ctx, v.monitorAges)
 	r := &v.mirrors.readers
 	v.group.Go(ctx, func(ctx context.Context) { followReader(ctx, v, r.replicas, v.replicaHandler()) })
 	v.group.Go(ctx, func(ctx context.Context) { followReader(ctx, v, r.configurations, v.routesHandler()) })
@@ -201,6 +202,9 @@
 	mayBeListed := !v.discovery.FirstStart || v.entryVersion.Load() != 0
 	for ctx.Err() == nil {
 		version, err := v.replaceEntry(ctx, entry, mayBeListed)
+		if err != nil && gaveUp(ctx, err) {
+			return
+		}
 		mayBeListed = true
 		if err == nil {
 			v.entryVersion.Store(uint64(version))
@@ -249,7 +253,7 @@
 }
 
 func (d *dependency) recordFailure(err error) {
-	if !d.lost {
+	if !d.lost && !isBehind(err) {
 		d.lost = true
 		d.vm.log.Warn().Str("kind", d.kind).Err(err).Msg("dependency-lost")
 	}
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -34,9 +34,10 @@
 	// answerFuncs maps each kind to the function that answers questions about it. It is
 	// only written before the transport starts.
 	answerFuncs map[string]func(context.Context, mirror.Question) mirror.Answer[[]byte]
-	// freshness maps each kind to the function that describes the objects held. It is only
-	// written before the transport starts.
-	freshness map[string]func() mirror.Freshness
+	// monitors holds one for each kind. It is only written before the transport starts.
+	monitors map[string]*kindMonitor
+	// listed describes the last list of VMs. It is only accessed by updateMirrors.
+	listed *vmList
 	// clock measures the age of objects.
 	clock *clock.Continuous
 }
@@ -66,7 +67,7 @@
 	}
 	m.prober.Now = m.clock.Now
 	m.answerFuncs = map[string]func(context.Context, mirror.Question) mirror.Answer[[]byte]{}
-	m.freshness = map[string]func() mirror.Freshness{}
+	m.monitors = map[string]*kindMonitor{}
 	checked := time.Duration(checkFraction * float64(d.ApplyWithin))
 	m.readers = readers{
 		replicas: newReader(v, m, d.Replicas, checked, mirror.Codec[catalogue.Replica]{
@@ -94,7 +95,7 @@
 	if v.peers, err = peer.Listen(self.Address, m.identity, peerHandler{v}); err != nil {
 		return &Error{"peers", CannotStart, err}
 	}
-	v.control.peers = v.peers
+	v.control.peers, v.control.routesFreshness = v.peers, m.readers.configurations.Freshness
 	return nil
 }
 
@@ -103,7 +104,8 @@
 // an interval, or by stale reads now and then if it is 0.
 func newReader[T any](v *VM, m *mirrors, source watch.Probeable[T], checkInterval time.Duration, valueCodec mirror.Codec[T]) *mirror.Reader[T] {
 	guarded := &watch.Guarded[T]{Probeable: source, Prober: m.prober, CheckInterval: checkInterval}
-	r := mirror.NewReader[T](guarded, valueCodec, m.selector, mirrorClient{v})
+	observed := observedSource[T]{Source: guarded, behind: v.logWatchBehind}
+	r := mirror.NewReader[T](observed, valueCodec, m.selector, mirrorClient{v})
 	guarded.Confirmed = r.Confirm
 	r.Now = m.clock.Now
 	r.MaxAge = time.Duration(maxAgeFraction * float64(v.discovery.ApplyWithin))
@@ -111,7 +113,12 @@
 	if v.discovery.FirstStart {
 		r.InitialListWait = mirror.InitialListWait
 	}
-	m.answerFuncs[r.Kind()], m.freshness[r.Kind()] = r.Answer, r.Freshness
+	monitor := &kindMonitor{kind: r.Kind(), freshness: r.Freshness}
+	r.OnPathChange(func(c mirror.PathChange) {
+		monitor.pathChanges.Add(1)
+		v.logPathChange(c)
+	})
+	m.answerFuncs[r.Kind()], m.monitors[r.Kind()] = r.Answer, monitor
 	return r
 }
 
@@ -129,24 +136,6 @@
 	return accept
 }
 
-// A mirrorVar describes the objects of one kind in the metrics.
-type mirrorVar struct {
-	Version platform.StoreVersion `json:"version"`
-	// Age is in milliseconds; negative without any objects.
-	Age  int64        `json:"age-ms"`
-	Path []ident.VMID `json:"path"`
-}
-
-// vars returns the metrics of each kind.
-func (m *mirrors) vars() map[string]mirrorVar {
-	out := make(map[string]mirrorVar, len(m.freshness))
-	for kind, freshness := range m.freshness {
-		f := freshness()
-		out[kind] = mirrorVar{f.Version, f.Age.Milliseconds(), f.Path}
-	}
-	return out
-}
-
 func (v *VM) logUnreadable(kind, name string, err error) {
 	v.log.Warn().Str("kind", kind).Str("name", name).Err(err).Msg("mirrored-entry-not-read")
 }
@@ -176,6 +165,25 @@
 		}
 	}
 	v.mirrors.selector.SetMembers(members)
+	v.logVMList(len(members))
+}
+
+// A vmList describes a list of VMs.
+type vmList struct {
+	// vms counts those that are not shutting down.
+	vms int
+	// position is the number of VMs of the region that precede this one in the order in which
+	// VMs read from each other.
+	position int
+}
+
+// logVMList logs the first list of VMs and each one that differs in what a vmList describes.
+func (v *VM) logVMList(vms int) {
+	position, _ := v.mirrors.selector.Position()
+	if l := (vmList{vms, position}); v.mirrors.listed == nil || *v.mirrors.listed != l {
+		v.mirrors.listed = &l
+		v.log.Info().Int("vms", l.vms).Int("position", l.position).Msg("vms-listed")
+	}
 }
 
 // answerQuestion returns the encoded answer to a mirror question of another VM.
@@ -200,15 +208,22 @@
 
 var errNoAnswer = errors.New("the mirror did not answer")
 
-// Ask sends a question to a mirror and logs the error if there is no answer.
+// Ask sends a question to a mirror and logs the error if the mirror failed to answer.
 func (c mirrorClient) Ask(ctx context.Context, to mirror.Member, q mirror.Question) (mirror.Answer[[]byte], error) {
 	answer, err := c.ask(ctx, to, q)
-	if err != nil {
+	if err != nil && !gaveUp(ctx, err) {
 		c.vm.log.Warn().Str("vm", string(to.VM)).Str("kind", q.Kind).Err(err).Msg("mirror-lost")
 	}
 	return answer, err
 }
 
+// gaveUp reports whether a call failed because this VM no longer wanted its result: it
+// stops, or another VM answered first. A deadline that passed is a failure of the other side.
+func gaveUp(ctx context.Context, err error) bool {
+	var e *peer.Error
+	return errors.Is(ctx.Err(), context.Canceled) || (errors.As(err, &e) && e.Kind == peer.Closed)
+}
+
 func (c mirrorClient) ask(ctx context.Context, to mirror.Member, q mirror.Question) (mirror.Answer[[]byte], error) {
 	body, err := proto.Marshal(&schema.PeerCall{Mirror: mirror.QuestionMessage(q)})
 	if err != nil {
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -37,7 +37,7 @@
 )
 
 const (
-	maxTasks          = 16
+	maxTasks          = 32
 	drainPollInterval = 10 * time.Millisecond
 	// answerMargin is the time before the end of a graceful stop at which the requests
 	// that still wait are answered with what is known. At most answerMarginFraction of
@@ -265,7 +265,7 @@
 	for {
 		select {
 		case c := <-v.control.repairs:
-			if err := v.watcher.Repair(ctx, c); err != nil {
+			if err := v.watcher.Repair(ctx, c); err != nil && !gaveUp(ctx, err) {
 				v.log.Warn().Err(err).Msg("platform-repair-failed")
 			}
 		case <-ctx.Done():
