fleet: a second desk service for deployments that ask for one

Cause: no route of a test's deployment can move to another service, so nothing shows which version of the configuration sent a request. Change: SiteSpec.OtherDeskReplicas starts replicas of serving-desk, after all others, and names the service in the first configuration. No other deployment changes.

--- a/proof/fleet/site.go
+++ b/proof/fleet/site.go
@@ -28,6 +28,9 @@
 	Shards, Replicas, Slots, Connections int
 	// DeskReplicas is the number of replicas of the service that is not sharded.
 	DeskReplicas int
+	// OtherDeskReplicas is the number of replicas of a second such service, to which no
+	// route of the first configuration leads; 0 if the deployment has none.
+	OtherDeskReplicas int
 	// Work is the mean time of one request on a replica.
 	Work time.Duration
 	Seed uint64
@@ -57,6 +60,7 @@
 	SearchHost = "search.example"
 	DeskHost   = "desk.example"
 	Desk       = ident.ServiceID("kitchen-desk")
+	OtherDesk  = ident.ServiceID("serving-desk")
 	// StoreSettleTime is how long the store must have been free of faults before it
 	// counts as stable.
 	StoreSettleTime = 2500 * time.Millisecond
@@ -102,6 +106,9 @@
 	if err := s.StartReplicas(Desk, "", s.Spec.DeskReplicas); err != nil {
 		return err
 	}
+	if err := s.StartReplicas(OtherDesk, "", s.Spec.OtherDeskReplicas); err != nil {
+		return err
+	}
 	if err := s.Configure(s.firstConfiguration()); err != nil {
 		return err
 	}
@@ -173,6 +180,9 @@
 		c.Services = append(c.Services, catalogue.Service{ID: Shard(i), Connections: s.Spec.Connections})
 	}
 	c.Services = append(c.Services, catalogue.Service{ID: Desk, Connections: s.Spec.Connections})
+	if s.Spec.OtherDeskReplicas > 0 {
+		c.Services = append(c.Services, catalogue.Service{ID: OtherDesk, Connections: s.Spec.Connections})
+	}
 	deskTargets := []route.Target{{Services: []ident.ServiceID{Desk}, Weight: 1}}
 	c.Routes = []route.Route{
 		{
