soak: judge each request by the versions that may be in force

Cause: the soak can't find what the users report as CONFIG. It asked whether the newest route answers 404, took a VM that the store refuses as disturbed until 4 s after, and moved no route that clients use.

A request sent at T may be handled as by the newest version acknowledged at T - 3 s and as by all later ones written before it was handled; a run at another service, a 404 for a route that all of these have and a 200 on one that none has are broken promises. A process that had an effect of a version does not go back (250 ms). Only VMs in touch are judged: one that the store refuses or leaves without answers stays in touch, as long as the store serves a VM that runs; a cut does not. Changes move /look/ between two services, add routes that last and drop them, beside the route that each change replaces, as before. Each VM is probed every 50 ms until it shows the newest version; the report has the greatest lag. A run without checks counts as not run and fails TestSoak and TestSeries. The checks of checkApplied stay and hold for refused VMs too. The old notion of undisturbed VMs stays for the checks of SIGTERM and of leaving replicas. A change is made at the start and, in calm, at the end, after the checks of the last change of the faults and of the recovery. The draws of the faults have the same kinds, times and VMs for a seed as before; which replica a fault takes shifts, since there are four more. Requests count for the limits on repeats of the service to which the newest acknowledged version sends them.

--- a/proof/soak/bounds.go
+++ b/proof/soak/bounds.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"strings"
 	"syscall"
@@ -13,44 +12,6 @@
 	"carawaycross.example/carawaycross/proof/standin"
 )
 
-const (
-	// inTouchAfter is how long the store and a VM must have been undisturbed before a bound
-	// on changes holds for the VM.
-	inTouchAfter = 4 * time.Second
-	// applyCheckInterval is the time between two checks of the newest route.
-	applyCheckInterval = 250 * time.Millisecond
-)
-
-// checkApplied checks that each VM in touch serves the route of the newest configuration,
-// once applyWithin has passed since it was acknowledged, and no route that it removed.
-func (r *run) checkApplied() {
-	if r.extraPrefix == "" || time.Since(r.configuredAt) < applyWithin || time.Since(r.storeDisturbedAt) < inTouchAfter {
-		return
-	}
-	for _, vm := range r.vms {
-		if !vm.undisturbedFor(inTouchAfter) {
-			continue
-		}
-		age := time.Since(r.configuredAt)
-		r.appliedChecks++
-		if vm.status(fleet.DeskHost, r.extraPrefix+"x", r.log.nextID()) == http.StatusNotFound {
-			r.log.reportBroken("%s lacks %s %v after it was acknowledged", vm.boot.VM, r.extraPrefix, age)
-		}
-		if r.removedPrefix != "" && vm.status(fleet.DeskHost, r.removedPrefix+"x", r.log.nextID()) == http.StatusOK {
-			r.log.reportBroken("%s serves %s %v after its removal was acknowledged", vm.boot.VM, r.removedPrefix, age)
-		}
-	}
-}
-
-// awaitChangeInForce checks the last change for some time after the last fault.
-func (r *run) awaitChangeInForce() {
-	until := time.Now().Add(inTouchAfter + time.Second)
-	for time.Now().Before(until) {
-		r.runDue(time.Now())
-		time.Sleep(pollInterval)
-	}
-}
-
 // checkBudget checks that in no window a service gets more repeats than the limits allow for
 // all VMs together.
 func (r *run) checkBudget() {
@@ -62,7 +23,7 @@
 	}
 	for id, arrivals := range byService {
 		slices.SortFunc(arrivals, func(a, b standin.Arrival) int { return a.At.Compare(b.At) })
-		requests := r.log.sentTo(id)
+		requests := r.versions.list().sentTo(r.log.all(), id)
 		seen := map[string]bool{}
 		var repeats []time.Time
 		for _, a := range arrivals {
@@ -89,20 +50,6 @@
 	}
 }
 
-// sentTo returns when the requests to a service were sent, in order.
-func (l *callLog) sentTo(id ident.ServiceID) []time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []time.Time
-	for _, c := range l.calls {
-		if (id == fleet.Desk) == (c.kind == "look" || c.kind == "order") {
-			out = append(out, c.sent)
-		}
-	}
-	slices.SortFunc(out, time.Time.Compare)
-	return out
-}
-
 // countIn returns how many of the sorted times lie from from on and before to.
 func countIn(times []time.Time, from, to time.Time) int {
 	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
@@ -121,12 +68,8 @@
 // killAllWithoutStore is killAll while the store refuses all calls, until some time after
 // the VMs have been started again.
 func (r *run) killAllWithoutStore() string {
-	r.site.Platform.SetFaults(standin.PlatformFaults{Down: true})
-	r.storeDisturbedAt = time.Now()
-	r.scheduleAfter(minFaultDuration+2*maxFaultDuration, func() {
-		r.site.Platform.SetFaults(standin.PlatformFaults{})
-		r.storeDisturbedAt = time.Now()
-	})
+	r.setPlatformFaults(standin.PlatformFaults{Down: true})
+	r.scheduleAfter(minFaultDuration+2*maxFaultDuration, func() { r.setPlatformFaults(standin.PlatformFaults{}) })
 	return r.killAll()
 }
 
@@ -159,11 +102,11 @@
 		n := (first + i) % len(r.vms)
 		vm, proxy := r.vms[n], r.storeProxies[n]
 		names = append(names, vm.boot.VM)
-		proxy.SetMode(Refuse)
+		r.setStoreProxy(n, Refuse)
 		proxy.Reset()
 		vm.markDisturbed()
 		r.scheduleAfter(refusedFor, func() {
-			proxy.SetMode(Pass)
+			r.setStoreProxy(n, Pass)
 			vm.markDisturbed()
 		})
 	}
@@ -173,13 +116,11 @@
 // dropHistory withholds a change from the watches and then drops the history, so that VMs
 // learn of the change from a new listing only.
 func (r *run) dropHistory() string {
-	r.site.Platform.SetFaults(standin.PlatformFaults{SilentWatch: true})
-	r.storeDisturbedAt = time.Now()
+	r.setPlatformFaults(standin.PlatformFaults{SilentWatch: true})
 	change := r.configure()
 	r.scheduleAfter(time.Second, func() {
 		r.site.Platform.Compact()
-		r.site.Platform.SetFaults(standin.PlatformFaults{})
-		r.storeDisturbedAt = time.Now()
+		r.setPlatformFaults(standin.PlatformFaults{})
 	})
 	return strings.TrimSpace(change)
 }
--- a/proof/soak/client.go
+++ b/proof/soak/client.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/core/merge"
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/proof/fleet"
@@ -28,9 +29,11 @@
 
 // A call is one request of a client and its outcome.
 type call struct {
-	id, kind, vm string
-	atMostOnce   bool
-	sent, ended  time.Time
+	id, kind    string
+	vm          ident.VMID
+	host, path  string
+	atMostOnce  bool
+	sent, ended time.Time
 	// status is 0 if the connection ended without an answer.
 	status int
 	err    error
@@ -40,6 +43,9 @@
 type callLog struct {
 	mu    sync.Mutex
 	calls []call
+	// probes are the requests that ask for routes of a version; they are not counted as
+	// requests of clients.
+	probes []call
 	// brokenPromises describes each violation that a check found.
 	brokenPromises []string
 	lastID         int
@@ -64,6 +70,12 @@
 	l.calls = append(l.calls, c)
 }
 
+func (l *callLog) addProbe(c call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.probes = append(l.probes, c)
+}
+
 // counts returns the number of calls sent after since, and how many of them
 // succeeded.
 func (l *callLog) counts(since time.Time) (requests, served int) {
@@ -99,13 +111,15 @@
 
 // runClient sends requests to one VM over its own connections until the context is
 // done. It reuses an open connection until the VM closes it.
-func runClient(ctx context.Context, l *callLog, vm, address string, shards int, seed uint64, think time.Duration) {
+func runClient(ctx context.Context, l *callLog, vm ident.VMID, address string, shards int, seed uint64, think time.Duration) {
 	random := rand.New(rand.NewPCG(seed, 3))
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	for ctx.Err() == nil {
 		k := requestKinds[random.IntN(len(requestKinds))]
-		c := call{id: l.nextID(), kind: k.name, vm: vm, atMostOnce: k.atMostOnce, sent: time.Now()}
+		c := call{
+			id: l.nextID(), kind: k.name, vm: vm, host: k.host, path: k.path, atMostOnce: k.atMostOnce, sent: time.Now(),
+		}
 		c.status, c.err = send(transport, l, address, shards, &k, &c)
 		c.ended = time.Now()
 		l.add(c)
@@ -154,7 +168,11 @@
 		if !strings.Contains(platform.ReplyDigest(h), "."+id+".") {
 			return errors.New("the digest is not of this request")
 		}
-		if !bytes.Equal(body, standin.ContentOf(string(fleet.Desk), id)) {
+		service := fleet.Desk
+		if strings.HasPrefix(platform.ReplyDigest(h), string(fleet.OtherDesk)+".") {
+			service = fleet.OtherDesk
+		}
+		if !bytes.Equal(body, standin.ContentOf(string(service), id)) {
 			return errors.New("the body is not the replica's")
 		}
 		return nil
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -6,7 +6,6 @@
 	"syscall"
 	"time"
 
-	"carawaycross.example/carawaycross/core/route"
 	"carawaycross.example/carawaycross/platform"
 	"carawaycross.example/carawaycross/proof/fleet"
 	"carawaycross.example/carawaycross/proof/standin"
@@ -186,13 +185,13 @@
 	i, vm := r.randomVM()
 	mode := Mode(1 + r.random.IntN(int(modeCount)-1))
 	p := r.storeProxies[i]
-	p.SetMode(mode)
+	r.setStoreProxy(i, mode)
 	if r.random.IntN(2) == 0 {
 		p.Reset()
 	}
 	vm.markDisturbed()
 	r.scheduleAfter(r.randomDuration(), func() {
-		p.SetMode(Pass)
+		r.setStoreProxy(i, Pass)
 		// Bytes that a cut discarded are missing from the stream, so the connection
 		// can't be used any more.
 		p.Reset()
@@ -206,15 +205,11 @@
 	f := []standin.PlatformFaults{
 		{Down: true}, {Delay: 200 * time.Millisecond}, {SilentWatch: true}, {LoseAnswers: 3}, {CallsPerSecond: 5},
 	}[r.random.IntN(5)]
-	r.site.Platform.SetFaults(f)
+	r.setPlatformFaults(f)
 	if r.random.IntN(2) == 0 {
 		r.site.Platform.Compact()
 	}
-	r.storeDisturbedAt = time.Now()
-	r.scheduleAfter(r.randomDuration(), func() {
-		r.site.Platform.SetFaults(standin.PlatformFaults{})
-		r.storeDisturbedAt = time.Now()
-	})
+	r.scheduleAfter(r.randomDuration(), func() { r.setPlatformFaults(standin.PlatformFaults{}) })
 	return fmt.Sprintf("%+v", f)
 }
 
@@ -303,22 +298,6 @@
 	return true
 }
 
-// configure writes a configuration in which a new route replaces the one of the last
-// change. See checkApplied.
-func (r *run) configure() string {
-	c := r.site.Configuration
-	c.Version += 1 + 2*c.Version%3
-	c.Routes = append([]route.Route(nil), c.Routes...)
-	extra := c.Routes[2]
-	extra.Name, extra.Prefix = "extra", fmt.Sprintf("/extra-%d/", c.Version)
-	c.Routes = append(c.Routes[:4], extra)
-	if err := r.site.Configure(c); err != nil {
-		r.log.reportBroken("configure: %v", err)
-	}
-	r.configuredAt, r.removedPrefix, r.extraPrefix = time.Now(), r.extraPrefix, extra.Prefix
-	return fmt.Sprint("version ", c.Version)
-}
-
 // zoneOut takes a random zone out for a random time.
 func (r *run) zoneOut() string {
 	zone := r.site.Spec.Zones[r.random.IntN(len(r.site.Spec.Zones))]
--- a/proof/soak/process.go
+++ b/proof/soak/process.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/platform"
 )
 
@@ -19,6 +20,8 @@
 type process struct {
 	binary, folder string
 	boot           platform.BootSpec
+	// touch records the disturbances of the VM.
+	touch *touchLog
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -50,6 +53,7 @@
 	if err := c.Start(); err != nil {
 		return errors.Join(err, log.Close())
 	}
+	p.touch.started(p.id(), time.Now())
 	done := make(chan error, 1)
 	go func() {
 		err := c.Wait()
@@ -65,17 +69,34 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.disturbedAt = time.Now()
+	p.recordSignal(s, p.disturbedAt)
 	p.paused = s == syscall.SIGSTOP || (p.paused && s != syscall.SIGCONT)
 	if p.command == nil {
 		return nil
 	}
 	err := p.command.Process.Signal(s)
+	if s == syscall.SIGCONT {
+		p.touch.set(p.id(), frozen, false, time.Now())
+	}
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
 	}
 	return err
 }
 
+// recordSignal records the disturbance that a signal begins.
+func (p *process) recordSignal(s syscall.Signal, at time.Time) {
+	switch s {
+	case syscall.SIGTERM, syscall.SIGKILL:
+		p.touch.set(p.id(), stopped, true, at)
+	case syscall.SIGSTOP:
+		p.touch.set(p.id(), frozen, true, at)
+	}
+}
+
+// id returns the VM's name.
+func (p *process) id() ident.VMID { return ident.VMID(p.boot.VM) }
+
 // awaitEnd waits until the VM has ended, and kills it if that takes longer than
 // within. It reports whether the VM ended by itself.
 func (p *process) awaitEnd(within time.Duration) bool {
@@ -121,16 +142,6 @@
 	return err == nil && fetchStatus(r) == http.StatusOK
 }
 
-// status sends one request and returns the status of the response, or 0 without a
-// response.
-func (p *process) status(host, path, id string) int {
-	r, err := platform.NewRequest(http.MethodGet, fmt.Sprintf("%s:%d", p.boot.IP, p.boot.Front), host, path, id, time.Second)
-	if err != nil {
-		return 0
-	}
-	return fetchStatus(r)
-}
-
 func fetchStatus(r *http.Request) int {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(r)
--- a/proof/soak/series_test.go
+++ b/proof/soak/series_test.go
@@ -58,6 +58,10 @@
 				t.Fatal(err)
 			}
 			t.Logf("%d requests, %d served, %d checks of changes, %.2f of the repeats allowed", report.Requests, report.Served, report.Checks, report.MostRepeats)
+			t.Logf("%d requests judged, %d tell versions apart, greatest lag %v, older version last in force %v", report.Judged, report.Telling, report.GreatestLag, report.LatestOld)
+			if !report.Checked() {
+				t.Errorf("not run: %d checks of changes, %d requests that tell versions apart", report.Checks, report.Telling)
+			}
 			for _, broken := range report.Broken {
 				t.Error(broken)
 			}
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -80,6 +80,7 @@
 	Requests, Served, Faults int
 	// Checks counts the checks of a VM in touch for the newest configuration.
 	Checks int
+	Judgement
 	// MostRepeats is the most repeats that a service got in a window, as a share of those
 	// allowed.
 	MostRepeats ident.Share
@@ -87,17 +88,24 @@
 	Broken []string
 }
 
+// Checked reports whether the soak checked changes. One that did not counts as not run.
+func (r *Report) Checked() bool { return r.Checks > 0 && r.Telling > 0 }
+
 // A run is one soak in progress.
 type run struct {
 	config Config
 	random *rand.Rand
-	site   *fleet.Site
+	// changes draws what changes of the configuration do.
+	changes *rand.Rand
+	site    *fleet.Site
 	// proxies holds a proxy for each address of a replica or the store, by that
 	// address; storeProxies holds each VM's own proxy of the store.
 	proxies      map[string]*Proxy
 	storeProxies []*Proxy
 	vms          []*process
 	log          callLog
+	touch        touchLog
+	versions     versionLog
 	began        time.Time
 	faultCount   int
 	// scheduled holds the pending ends of faults and checks.
@@ -127,7 +135,7 @@
 // Run runs one soak.
 func Run(ctx context.Context, c Config) (Report, error) {
 	r := &run{
-		config: c, random: rand.New(rand.NewPCG(c.Seed, 11)), proxies: map[string]*Proxy{},
+		config: c, random: rand.New(rand.NewPCG(c.Seed, 11)), changes: rand.New(rand.NewPCG(c.Seed, 12)), proxies: map[string]*Proxy{},
 		leaving: map[*standin.Replica]time.Time{}, began: time.Now(),
 	}
 	defer r.stop()
@@ -136,36 +144,53 @@
 	}
 	clients, stop := context.WithCancel(ctx)
 	defer stop()
-	think := thinkTime
-	if c.Seed%3 == 0 {
-		think = calmThinkTime
-	}
-	done := make(chan struct{}, len(r.vms)*clientsPerVM)
-	for i, vm := range r.vms {
-		for n := range clientsPerVM {
-			go func() {
-				runClient(clients, &r.log, vm.boot.VM, fmt.Sprintf("%s:%d", vm.boot.IP, vm.boot.Front),
-					r.site.Spec.Shards, c.Seed*1000+uint64(i*clientsPerVM+n), think)
-				done <- struct{}{}
-			}()
-		}
-	}
+	done := r.startClients(clients)
 	if len(c.Series) == 0 {
+		r.scheduleChanges(c.Duration)
 		r.injectFaults(ctx)
 	} else if err := r.schedule(c.Series); err != nil {
 		return Report{}, &Error{"schedule", CannotRun, err}
 	}
 	r.awaitFaultsEnd()
-	r.awaitChangeInForce()
+	r.awaitChangeInForce(inTouchAfter + time.Second)
 	r.checkRecovery(ctx)
+	r.checkLastChange()
 	stop()
 	for range cap(done) {
 		<-done
 	}
 	r.checkRuns()
 	r.checkBudget()
+	judgement := r.judge()
 	requests, served := r.log.counts(r.began)
-	return Report{c.Seed, requests, served, r.faultCount, r.appliedChecks, r.mostRepeats, r.log.brokenPromises}, nil
+	return Report{
+		Seed: c.Seed, Requests: requests, Served: served, Faults: r.faultCount, Checks: r.appliedChecks,
+		Judgement: judgement, MostRepeats: r.mostRepeats, Broken: r.log.brokenPromises,
+	}, nil
+}
+
+// startClients starts the clients and the probes. Each reports its end on the channel, whose
+// capacity is their number.
+func (r *run) startClients(ctx context.Context) chan struct{} {
+	think := thinkTime
+	if r.config.Seed%3 == 0 {
+		think = calmThinkTime
+	}
+	done := make(chan struct{}, len(r.vms)*(clientsPerVM+1))
+	for i, vm := range r.vms {
+		for n := range clientsPerVM {
+			go func() {
+				runClient(ctx, &r.log, vm.id(), fmt.Sprintf("%s:%d", vm.boot.IP, vm.boot.Front),
+					r.site.Spec.Shards, r.config.Seed*1000+uint64(i*clientsPerVM+n), think)
+				done <- struct{}{}
+			}()
+		}
+		go func() {
+			r.probeVersions(ctx, vm, r.config.Seed*1000+uint64(i))
+			done <- struct{}{}
+		}()
+	}
+	return done
 }
 
 func (r *run) start() error {
@@ -174,6 +199,7 @@
 	}
 	spec := fleet.SmallSite()
 	spec.VMs, spec.Seed = r.config.VMs, r.config.Seed
+	spec.OtherDeskReplicas = spec.DeskReplicas
 	if r.config.Seed%2 == 0 {
 		// The VMs read the store through one another; the promises stay the same.
 		spec.Apply = mirroredApplyWithin
@@ -196,6 +222,7 @@
 		return err
 	}
 	r.site = site
+	r.recordFirst()
 	for i := range site.Boots {
 		// Each VM reaches the store through its own proxy.
 		p, err := NewProxy(site.Platform.Address())
@@ -205,7 +232,7 @@
 		r.storeProxies = append(r.storeProxies, p)
 		boot := site.Boots[i]
 		boot.Store = p.Address()
-		vm := &process{binary: r.config.Binary, folder: r.config.Folder, boot: boot}
+		vm := &process{binary: r.config.Binary, folder: r.config.Folder, boot: boot, touch: &r.touch}
 		r.vms = append(r.vms, vm)
 		if err := vm.start(); err != nil {
 			return err
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -57,6 +57,11 @@
 		if report.Requests == 0 || report.Faults == 0 {
 			t.Errorf("seed %d: %d requests, %d faults", s.seed, report.Requests, report.Faults)
 		}
+		if !report.Checked() {
+			t.Errorf("seed %d: not run: %d checks of changes, %d requests that tell versions apart", s.seed, report.Checks, report.Telling)
+		}
+		t.Logf("seed %d: %d checks of changes, %d requests judged, %d tell versions apart, greatest lag %v, older version last in force %v",
+			s.seed, report.Checks, report.Judged, report.Telling, report.GreatestLag, report.LatestOld)
 		if t.Failed() {
 			t.Log(log)
 		}
