standin: reads of the store that allow stale data may be old

The protocol lets a read with allowStale miss changes of the last seconds; the stand-in always answered with the newest state, so a probe of the store found each change at once. SetStaleness sets the age up to which changes are missing from such watches; 0 as before.

--- a/proof/standin/platform.go
+++ b/proof/standin/platform.go
@@ -38,6 +38,7 @@
 	kind     string
 	object   storedObject
 	deleted  bool
+	at       time.Time
 }
 
 // PlatformFaults are the faults of a Platform; the zero value has none.
@@ -73,6 +74,8 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	faults  PlatformFaults
+	// staleness is the age of the changes that a watch which allows stale data misses.
+	staleness time.Duration
 	// readTenths counts reads in tenths: a read that allows stale data adds one,
 	// any other read ten.
 	readTenths int
@@ -128,6 +131,14 @@
 	p.faults = f
 }
 
+// SetStaleness sets the age up to which changes are missing from watches that allow stale
+// data.
+func (p *Platform) SetStaleness(age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.staleness = age
+}
+
 // SetVM adds a VM to the list of VMs, or updates whether it is leaving.
 func (p *Platform) SetVM(name string, leaving bool) {
 	spec, _ := json.Marshal(map[string]any{"leaving": leaving})
@@ -267,7 +278,7 @@
 // appendEventLocked adds a change to the history, removes the oldest ones beyond
 // maxHistory and wakes the watches.
 func (p *Platform) appendEventLocked(kind string, o storedObject, deleted bool) {
-	p.history = append(p.history, changeEvent{p.revision, kind, o, deleted})
+	p.history = append(p.history, changeEvent{p.revision, kind, o, deleted, time.Now()})
 	if extra := len(p.history) - maxHistory; extra > 0 {
 		p.compactedTo = p.history[extra-1].revision
 		p.history = slices.Delete(p.history, 0, extra)
@@ -315,7 +326,11 @@
 	for {
 		p.mu.Lock()
 		changed, silent := p.changed, p.faults.SilentWatch
-		compacted, events, revision := after < p.compactedTo || after > p.revision, p.eventsSinceLocked(kind, after), p.revision
+		var staleness time.Duration
+		if r.URL.Query().Get(wire.ParamStale) != "" {
+			staleness = p.staleness
+		}
+		compacted, events, revision := after < p.compactedTo || after > p.revision, p.eventsSinceLocked(kind, after, staleness), p.revision
 		if p.era > 0 {
 			w.Header().Set(wire.HeaderEra, strconv.Itoa(p.era))
 		}
@@ -339,11 +354,12 @@
 	}
 }
 
-// eventsSinceLocked returns the changes of a kind after a revision.
-func (p *Platform) eventsSinceLocked(kind string, after uint64) []wire.Event {
+// eventsSinceLocked returns the changes of a kind after a revision that were made at least
+// staleness ago.
+func (p *Platform) eventsSinceLocked(kind string, after uint64, staleness time.Duration) []wire.Event {
 	var events []wire.Event
 	for _, h := range p.history {
-		if h.kind == kind && h.revision > after {
+		if h.kind == kind && h.revision > after && (staleness == 0 || time.Since(h.at) >= staleness) {
 			events = append(events, wire.Event{Object: encode(h.object), Deleted: h.deleted})
 		}
 	}
