--- a/proof/soak/bounds.go
+++ b/proof/soak/bounds.go
@@ -159,11 +159,11 @@
 		n := (first + i) % len(r.vms)
 		vm, proxy := r.vms[n], r.storeProxies[n]
 		names = append(names, vm.boot.VM)
-		proxy.SetMode(Refuse)
+		r.setMode(proxy, Refuse)
 		proxy.Reset()
 		vm.markDisturbed()
 		r.scheduleAfter(refusedFor, func() {
-			proxy.SetMode(Pass)
+			r.setMode(proxy, Pass)
 			vm.markDisturbed()
 		})
 	}
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -28,7 +28,7 @@
 }
 
 func faultKinds() []faultKind {
-	return []faultKind{
+	return append([]faultKind{
 		{"term", 3, (*run).term},
 		{"kill", 2, (*run).kill},
 		{"pause", 2, (*run).pause},
@@ -46,7 +46,7 @@
 		{"kill-all-without-store", 1, (*run).killAllWithoutStore},
 		{"rollout", 1, (*run).rollout},
 		{"zone-out", 1, (*run).zoneOut},
-	}
+	}, disruptionKinds()...)
 }
 
 // schedule schedules the faults of a series.
@@ -184,15 +184,15 @@
 // disruptStoreProxy sets a random mode on the proxy between one VM and the store.
 func (r *run) disruptStoreProxy() string {
 	i, vm := r.randomVM()
-	mode := Mode(1 + r.random.IntN(int(modeCount)-1))
+	mode := Mode(1 + r.random.IntN(int(Silent)))
 	p := r.storeProxies[i]
-	p.SetMode(mode)
+	r.setMode(p, mode)
 	if r.random.IntN(2) == 0 {
 		p.Reset()
 	}
 	vm.markDisturbed()
 	r.scheduleAfter(r.randomDuration(), func() {
-		p.SetMode(Pass)
+		r.setMode(p, Pass)
 		// Bytes that a cut discarded are missing from the stream, so the connection
 		// can't be used any more.
 		p.Reset()
@@ -221,14 +221,14 @@
 // disruptReplicaProxy sets a random mode on the proxy in front of one replica.
 func (r *run) disruptReplicaProxy() string {
 	replica := r.randomReplica()
-	mode := Mode(1 + r.random.IntN(int(modeCount)-1))
+	mode := Mode(1 + r.random.IntN(int(Silent)))
 	p := r.proxies[replica.Entry().Address]
-	p.SetMode(mode)
+	r.setMode(p, mode)
 	if r.random.IntN(2) == 0 {
 		p.Reset()
 	}
 	r.scheduleAfter(r.randomDuration(), func() {
-		p.SetMode(Pass)
+		r.setMode(p, Pass)
 		p.Reset()
 	})
 	return fmt.Sprintf("%s %v", replica.Entry().ID, mode)
