soak: VMs with a share of the processor

Deployments have 0.4 to 0.8 of a core a VM; the soak gave all of it. With Config.Share a VM is stopped for the rest of each tenth of a second, in place of a limit on its processor time. These pauses leave disturbedAt and paused as they are, and none is sent while a fault has stopped the VM. Config.Staleness sets the age of stale reads at the store. Both are off by default.

--- a/proof/soak/process.go
+++ b/proof/soak/process.go
@@ -66,6 +66,22 @@
 	defer p.mu.Unlock()
 	p.disturbedAt = time.Now()
 	p.paused = s == syscall.SIGSTOP || (p.paused && s != syscall.SIGCONT)
+	return p.send(s)
+}
+
+// signalUnlessPaused sends a signal of a duty cycle to the VM if it is running and no fault
+// has stopped it. It does not count as a disturbance.
+func (p *process) signalUnlessPaused(s syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused {
+		return nil
+	}
+	return p.send(s)
+}
+
+// send sends a signal to the VM if it is running. The lock must be held.
+func (p *process) send(s syscall.Signal) error {
 	if p.command == nil {
 		return nil
 	}
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -66,6 +66,11 @@
 	// Binary is the path of the program, Folder the one for settings and logs.
 	Binary, Folder string
 	VMs            int
+	// Share is the part of each tenth of a second in which a VM runs, in place of a limit on
+	// its processor time; 0 means all of it.
+	Share ident.Share
+	// Staleness is the age of the store's answers to reads that allow stale data.
+	Staleness time.Duration
 	// OnFault is called with a line for each fault; may be nil.
 	OnFault func(string)
 }
@@ -97,9 +102,11 @@
 	proxies      map[string]*Proxy
 	storeProxies []*Proxy
 	vms          []*process
-	log          callLog
-	began        time.Time
-	faultCount   int
+	// endDuty ends the duty cycles of the VMs; nil if there are none.
+	endDuty    func()
+	log        callLog
+	began      time.Time
+	faultCount int
 	// scheduled holds the pending ends of faults and checks.
 	scheduled []scheduledAction
 	// leaving holds the time since which a replica's entry is marked as leaving.
@@ -196,6 +203,7 @@
 		return err
 	}
 	r.site = site
+	site.Platform.SetStaleness(r.config.Staleness)
 	for i := range site.Boots {
 		// Each VM reaches the store through its own proxy.
 		p, err := NewProxy(site.Platform.Address())
@@ -211,7 +219,28 @@
 			return err
 		}
 	}
-	return r.awaitReady()
+	if err := r.awaitReady(); err != nil {
+		return err
+	}
+	if r.config.Share > 0 && r.config.Share < 1 {
+		r.startDuty()
+	}
+	return nil
+}
+
+// startDuty starts a duty cycle for each VM.
+func (r *run) startDuty() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var cycles []*dutyCycle
+	for _, vm := range r.vms {
+		cycles = append(cycles, startDutyCycle(ctx, vm, r.config.Share))
+	}
+	r.endDuty = func() {
+		cancel()
+		for _, c := range cycles {
+			c.wait()
+		}
+	}
 }
 
 func (r *run) awaitReady() error {
@@ -229,6 +258,9 @@
 
 // stop ends the processes, proxies and stand-ins that the soak started.
 func (r *run) stop() {
+	if r.endDuty != nil {
+		r.endDuty()
+	}
 	for _, vm := range r.vms {
 		if vm.command != nil {
 			_ = vm.command.Process.Kill()
