--- a/cmd/carawaycross/soak.go
+++ b/cmd/carawaycross/soak.go
@@ -1,14 +1,18 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/integrii/flaggy"
 
+	"carawaycross.example/carawaycross/core/ident"
 	"carawaycross.example/carawaycross/proof/soak"
 )
 
@@ -17,19 +21,32 @@
 type soakCommand struct {
 	seed          int
 	seeds         int
+	jobs          int
 	faultDuration time.Duration
 	vms           int
+	// series holds steps in place of random faults, such as "0s:refuse-most,9s:configure".
+	series string
+	// share is the part of the time in which VMs run.
+	share     float64
+	staleness time.Duration
+	// binary is the path of the program that is run; this one if empty.
+	binary string
 	// folder is where settings and logs are written.
 	folder string
 }
 
 func (c *soakCommand) bind() *flaggy.Subcommand {
 	s := newSubcommand("soak", "Run entry VMs under random faults and check the promises.", "carawaycross soak --seed 1 --seeds 5 --for 20s")
-	c.seed, c.seeds, c.faultDuration, c.vms, c.folder = 1, 1, 20*time.Second, 3, filepath.Join(os.TempDir(), "carawaycross-soak")
+	c.seed, c.seeds, c.jobs, c.faultDuration, c.vms, c.folder = 1, 1, 1, 20*time.Second, 3, filepath.Join(os.TempDir(), "carawaycross-soak")
 	s.Int(&c.seed, "", "seed", "The first seed.")
-	s.Int(&c.seeds, "", "seeds", "How many seeds to run, one after the other.")
+	s.Int(&c.seeds, "", "seeds", "How many seeds to run.")
+	s.Int(&c.jobs, "", "jobs", "How many seeds to run at the same time.")
 	s.Duration(&c.faultDuration, "", "for", "How long faults are injected, for each seed.")
 	s.Int(&c.vms, "", "vms", "The number of entry VMs.")
+	s.String(&c.series, "", "series", "Faults in place of random ones, as AFTER:FAULT,AFTER:FAULT.")
+	s.Float64(&c.share, "", "share", "The part of each tenth of a second in which a VM runs; 0 for all of it.")
+	s.Duration(&c.staleness, "", "staleness", "The age of the store's answers to reads that allow stale data.")
+	s.String(&c.binary, "", "binary", "The program to run; this one unless given.")
 	s.String(&c.folder, "", "folder", "Where settings and logs are kept, a folder a seed.")
 	return s
 }
@@ -39,30 +56,89 @@
 	if err != nil {
 		return err
 	}
-	failedSeeds := 0
+	steps, err := parseSeries(c.series)
+	if err != nil {
+		return err
+	}
+	base := soak.Config{
+		Duration: c.faultDuration, Series: steps, Binary: cmp.Or(c.binary, binary), VMs: c.vms,
+		Share: ident.Share(c.share), Staleness: c.staleness,
+	}
+	type outcome struct {
+		failed bool
+		err    error
+	}
+	var printing sync.Mutex
+	outcomes, slots := make(chan outcome, c.seeds), make(chan struct{}, max(c.jobs, 1))
 	for i := range c.seeds {
-		seed := uint64(c.seed + i)
-		folder := filepath.Join(c.folder, fmt.Sprint("seed-", seed))
-		var faultLog []string
-		report, err := soak.Run(ctx, soak.Config{
-			Seed: seed, Duration: c.faultDuration, Binary: binary, Folder: folder, VMs: c.vms,
-			OnFault: func(line string) { faultLog = append(faultLog, line) },
-		})
-		if err != nil {
-			return err
+		slots <- struct{}{}
+		go func() {
+			failed, err := c.runSeed(ctx, base, uint64(c.seed+i), &printing)
+			<-slots
+			outcomes <- outcome{failed, err}
+		}()
+	}
+	failedSeeds := 0
+	var firstErr error
+	for range c.seeds {
+		o := <-outcomes
+		if firstErr == nil {
+			firstErr = o.err
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d faults, %d checks of changes, %.2f of the repeats allowed, %d promises broken\n",
-			seed, report.Requests, report.Served, report.Faults, report.Checks, report.MostRepeats, len(report.Broken))
-		if len(report.Broken) > 0 {
+		if o.failed {
 			failedSeeds++
-			for _, line := range append(faultLog, report.Broken...) {
-				fmt.Println("  " + line)
-			}
-			fmt.Println("  logs in", folder)
 		}
 	}
+	if firstErr != nil {
+		return firstErr
+	}
 	if failedSeeds > 0 {
 		return fmt.Errorf("%d of %d seeds broke a promise", failedSeeds, c.seeds)
 	}
 	return nil
 }
+
+// runSeed runs one seed, prints its report and reports whether it broke a promise.
+func (c *soakCommand) runSeed(ctx context.Context, config soak.Config, seed uint64, printing *sync.Mutex) (failed bool, err error) {
+	var faultLog []string
+	config.Seed, config.Folder = seed, filepath.Join(c.folder, fmt.Sprint("seed-", seed))
+	config.OnFault = func(line string) {
+		faultLog = append(faultLog, time.Now().UTC().Format("15:04:05.000 ")+line)
+	}
+	report, err := soak.Run(ctx, config)
+	if err != nil {
+		return false, err
+	}
+	if err := os.WriteFile(filepath.Join(config.Folder, "faults.log"), []byte(strings.Join(faultLog, "\n")+"\n"), 0o600); err != nil {
+		return false, err
+	}
+	printing.Lock()
+	defer printing.Unlock()
+	fmt.Printf("seed %d: %d requests, %d served, %d faults, %d checks of changes, %.2f of the repeats allowed, %d promises broken\n",
+		seed, report.Requests, report.Served, report.Faults, report.Checks, report.MostRepeats, len(report.Broken))
+	if len(report.Broken) == 0 {
+		return false, nil
+	}
+	for _, line := range append(faultLog, report.Broken...) {
+		fmt.Println("  " + line)
+	}
+	fmt.Println("  logs in", config.Folder)
+	return true, nil
+}
+
+// parseSeries parses steps such as "0s:refuse-most,9s:configure".
+func parseSeries(text string) ([]soak.Step, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var steps []soak.Step
+	for _, one := range strings.Split(text, ",") {
+		after, fault, ok := strings.Cut(one, ":")
+		at, err := time.ParseDuration(after)
+		if err != nil || !ok {
+			return nil, fmt.Errorf("the step %q is not of the form 9s:FAULT", one)
+		}
+		steps = append(steps, soak.Step{At: at, Fault: fault})
+	}
+	return steps, nil
+}
