--- a/proof/soak/bounds.go
+++ b/proof/soak/bounds.go
@@ -102,11 +102,11 @@
 		n := (first + i) % len(r.vms)
 		vm, proxy := r.vms[n], r.storeProxies[n]
 		names = append(names, vm.boot.VM)
-		r.setStoreProxy(n, Refuse)
+		r.setMode(proxy, Refuse)
 		proxy.Reset()
 		vm.markDisturbed()
 		r.scheduleAfter(refusedFor, func() {
-			r.setStoreProxy(n, Pass)
+			r.setMode(proxy, Pass)
 			vm.markDisturbed()
 		})
 	}
--- a/proof/soak/changes.go
+++ b/proof/soak/changes.go
@@ -229,21 +229,31 @@
 	}
 }
 
-// setStoreProxy sets the mode of the proxy between a VM and the store.
-func (r *run) setStoreProxy(i int, m Mode) {
-	isCut, isRefused := m == CutAnswers || m == CutAsks, m == Refuse || m == Silent
-	id, before := r.vms[i].id(), time.Now()
-	if isCut {
-		r.touch.set(id, cut, true, before)
+// setMode sets the mode of a proxy and records what that means for the VM if it is one between
+// a VM and the store.
+func (r *run) setMode(p *Proxy, m Mode) {
+	i := slices.Index(r.storeProxies, p)
+	if i >= 0 && m.cuts() {
+		r.touch.set(r.vms[i].id(), cut, true, time.Now())
 	}
-	r.storeProxies[i].SetMode(m)
-	after := time.Now()
-	r.touch.set(id, refused, isRefused, after)
-	if !isCut {
-		r.touch.set(id, cut, false, after)
+	if err := p.SetMode(m); err != nil {
+		r.log.reportBroken("mode %v of the proxy %s: %v", m, p.Address(), err)
+	}
+	if i < 0 {
+		return
+	}
+	r.touch.set(r.vms[i].id(), refused, m.refuses(), time.Now())
+	if !m.cuts() {
+		r.touch.set(r.vms[i].id(), cut, false, time.Now())
 	}
 }
 
+// cuts reports whether the mode loses one direction of the link.
+func (m Mode) cuts() bool { return m == CutAnswers || m == CutAsks }
+
+// refuses reports whether the target does not serve new connections although the link works.
+func (m Mode) refuses() bool { return m != Pass && m != Delay && !m.cuts() }
+
 // judge judges all calls against the versions of the configuration.
 func (r *run) judge() Judgement {
 	j := &judge{versions: r.versions.list(), touch: &r.touch, began: r.began}
--- a/proof/soak/process.go
+++ b/proof/soak/process.go
@@ -71,26 +71,41 @@
 	p.disturbedAt = time.Now()
 	p.recordSignal(s, p.disturbedAt)
 	p.paused = s == syscall.SIGSTOP || (p.paused && s != syscall.SIGCONT)
+	return p.send(s)
+}
+
+// signalUnlessPaused sends a signal of a duty cycle to the VM if it is running and no fault
+// has stopped it. It does not count as a disturbance.
+func (p *process) signalUnlessPaused(s syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused {
+		return nil
+	}
+	return p.send(s)
+}
+
+// send sends a signal to the VM if it is running. The lock must be held.
+func (p *process) send(s syscall.Signal) error {
 	if p.command == nil {
 		return nil
 	}
 	err := p.command.Process.Signal(s)
-	if s == syscall.SIGCONT {
-		p.touch.set(p.id(), frozen, false, time.Now())
-	}
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
 	}
 	return err
 }
 
-// recordSignal records the disturbance that a signal begins.
+// recordSignal records the disturbance that a signal begins or ends.
 func (p *process) recordSignal(s syscall.Signal, at time.Time) {
 	switch s {
 	case syscall.SIGTERM, syscall.SIGKILL:
 		p.touch.set(p.id(), stopped, true, at)
 	case syscall.SIGSTOP:
 		p.touch.set(p.id(), frozen, true, at)
+	case syscall.SIGCONT:
+		p.touch.set(p.id(), frozen, false, at)
 	}
 }
 
