soak: a watch on a dead connection hides a change behind stale reads

With stall-store-watches the connections on which VMs wait for the store go silent for good; idle and new ones work, so probes of the store succeed.

--- a/proof/soak/disruptions.go
+++ b/proof/soak/disruptions.go
@@ -28,6 +28,7 @@
 func disruptionKinds() []faultKind {
 	return []faultKind{
 		{"stall-store-connections", 2, (*run).stallStoreConnections},
+		{"stall-store-watches", 1, (*run).stallStoreWatches},
 		{"refuse-most", 1, (*run).refuseMost},
 		{"refuse-then-move", 1, (*run).refuseThenMove},
 		{"refuse-and-strike", 1, (*run).refuseAndStrike},
@@ -57,13 +58,25 @@
 	all := r.random.IntN(2) == 0
 	var stalled []string
 	for i := first; i < first+count; i++ {
-		n := r.storeProxies[i].Stall(func() bool { return all || r.random.IntN(2) == 0 })
+		n := r.storeProxies[i].Stall(func(bool) bool { return all || r.random.IntN(2) == 0 })
 		r.vms[i].markDisturbed()
 		stalled = append(stalled, fmt.Sprint(n, " of ", r.vms[i].boot.VM))
 	}
 	return strings.Join(stalled, ", ")
 }
 
+// stallStoreWatches makes the connections of all VMs to the store on which a call waits
+// silent for good. Idle connections and new ones work.
+func (r *run) stallStoreWatches() string {
+	var stalled []string
+	for i, vm := range r.vms {
+		n := r.storeProxies[i].Stall(func(waiting bool) bool { return waiting })
+		vm.markDisturbed()
+		stalled = append(stalled, fmt.Sprint(n, " of ", vm.boot.VM))
+	}
+	return strings.Join(stalled, ", ")
+}
+
 // refuse lets the store refuse a VM in a way, until the proxy's mode is Pass again.
 func (r *run) refuse(i int, way Mode) { r.setMode(r.storeProxies[i], way) }
 
--- a/proof/soak/proxy.go
+++ b/proof/soak/proxy.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,12 +93,18 @@
 	// conns holds the open connections. Both ends of a forwarded connection have the same
 	// link.
 	conns map[net.Conn]*link
+	// links counts the connections that were accepted.
+	links int
 }
 
 // A link is a connection of a client and the one to the target for it.
 type link struct {
+	// number counts the links of a proxy.
+	number int
 	// stalled is true once the link is silent for good.
 	stalled atomic.Bool
+	// waiting is true while the client waits for the target: the last bytes were the client's.
+	waiting atomic.Bool
 }
 
 // NewProxy starts a Proxy for a target address.
@@ -161,18 +169,22 @@
 }
 
 // Stall makes open connections silent for good, without a reset: those for which chosen
-// returns true. New ones work. It returns the number of connections that it stalled.
-func (p *Proxy) Stall(chosen func() bool) int {
+// returns true, which is called with whether the client waits for a response on it. New
+// connections work. It returns the number of connections that it stalled.
+func (p *Proxy) Stall(chosen func(waiting bool) bool) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	decided := map[*link]bool{}
-	stalled := 0
+	var links []*link
 	for _, k := range p.conns {
-		if decided[k] || k.stalled.Load() {
-			continue
+		if !k.stalled.Load() && !slices.Contains(links, k) {
+			links = append(links, k)
 		}
-		decided[k] = true
-		if chosen() {
+	}
+	// The order of a map would make a seed choose other connections in each run.
+	slices.SortFunc(links, func(a, b *link) int { return cmp.Compare(a.number, b.number) })
+	stalled := 0
+	for _, k := range links {
+		if chosen(k.waiting.Load()) {
 			k.stalled.Store(true)
 			stalled++
 		}
@@ -201,6 +213,14 @@
 	return p.mode
 }
 
+// newLink returns a link for a connection that was accepted.
+func (p *Proxy) newLink() *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.links++
+	return &link{number: p.links}
+}
+
 // track adds an open connection. It closes one that the proxy accepted or opened while it
 // was being closed, and reports whether the connection is open.
 func (p *Proxy) track(c net.Conn, k *link) bool {
@@ -228,7 +248,7 @@
 		if err != nil {
 			return
 		}
-		k := &link{}
+		k := p.newLink()
 		if !p.track(c, k) {
 			continue
 		}
@@ -279,6 +299,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			k.waiting.Store(discardMode == CutAsks)
 			switch p.currentMode() {
 			case Silent, discardMode:
 				discards = true
