--- a/proof/soak/proxy.go
+++ b/proof/soak/proxy.go
@@ -58,6 +58,11 @@
 	return m == ResetAll || m == Closed || m == Unavailable || m == Limited
 }
 
+// refuses reports whether the target appears to refuse or not to answer calls.
+func (m Mode) refuses() bool {
+	return m == Refuse || m == Silent || m == HoldNew || m.resetsOpen()
+}
+
 // status returns the HTTP status with which the proxy itself responds in the mode, or 0.
 func (m Mode) status() int {
 	switch m {
