--- a/cmd/carawaycross/soak.go
+++ b/cmd/carawaycross/soak.go
@@ -1,8 +1,8 @@
 package main
 
 import (
-	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -29,10 +29,10 @@
 	// share is the part of the time in which VMs run.
 	share     float64
 	staleness time.Duration
-	// binary is the path of the program that is run; this one if empty.
-	binary string
 	// folder is where settings and logs are written.
 	folder string
+	// binary is the path of the program that is run; empty for this one.
+	binary string
 }
 
 func (c *soakCommand) bind() *flaggy.Subcommand {
@@ -46,59 +46,54 @@
 	s.String(&c.series, "", "series", "Faults in place of random ones, as AFTER:FAULT,AFTER:FAULT.")
 	s.Float64(&c.share, "", "share", "The part of each tenth of a second in which a VM runs; 0 for all of it.")
 	s.Duration(&c.staleness, "", "staleness", "The age of the store's answers to reads that allow stale data.")
-	s.String(&c.binary, "", "binary", "The program to run; this one unless given.")
 	s.String(&c.folder, "", "folder", "Where settings and logs are kept, a folder a seed.")
+	s.String(&c.binary, "", "binary", "The program to run instead of this one, such as another build of it.")
 	return s
 }
 
 func (c *soakCommand) run(ctx context.Context) error {
-	binary, err := os.Executable()
-	if err != nil {
-		return err
+	binary := c.binary
+	if binary == "" {
+		var err error
+		if binary, err = os.Executable(); err != nil {
+			return err
+		}
 	}
 	steps, err := parseSeries(c.series)
 	if err != nil {
 		return err
 	}
 	base := soak.Config{
-		Duration: c.faultDuration, Series: steps, Binary: cmp.Or(c.binary, binary), VMs: c.vms,
-		Share: ident.Share(c.share), Staleness: c.staleness,
-	}
-	type outcome struct {
-		report soak.Report
-		err    error
+		Duration: c.faultDuration, Series: steps, Binary: binary, VMs: c.vms, Share: ident.Share(c.share), Staleness: c.staleness,
 	}
 	var printing sync.Mutex
-	outcomes, slots := make(chan outcome, c.seeds), make(chan struct{}, max(c.jobs, 1))
+	ended, slots := make(chan seedResult, c.seeds), make(chan struct{}, max(c.jobs, 1))
 	for i := range c.seeds {
 		slots <- struct{}{}
 		go func() {
-			report, err := c.runSeed(ctx, base, uint64(c.seed+i), &printing)
+			r := c.runSeed(ctx, base, uint64(c.seed+i), &printing)
 			<-slots
-			outcomes <- outcome{report, err}
+			ended <- r
 		}()
 	}
 	failed, notRun := 0, 0
-	var firstErr error
+	var errs error
 	for range c.seeds {
-		o := <-outcomes
-		if firstErr == nil {
-			firstErr = o.err
-		}
-		if len(o.report.Broken) > 0 {
+		r := <-ended
+		errs = errors.Join(errs, r.err)
+		if r.broken {
 			failed++
 		}
-		if !o.report.Checked() {
+		if r.notRun {
 			notRun++
 		}
 	}
-	if firstErr != nil {
-		return firstErr
-	}
 	if notRun > 0 {
 		fmt.Printf("%d of %d seeds not run: they checked no change\n", notRun, c.seeds)
 	}
 	switch {
+	case errs != nil:
+		return errs
 	case failed > 0:
 		return fmt.Errorf("%d of %d seeds broke a promise", failed, c.seeds)
 	case notRun == c.seeds:
@@ -107,19 +102,26 @@
 	return nil
 }
 
+// A seedResult is how the soak of one seed ended.
+type seedResult struct {
+	// broken is true if it broke a promise, notRun if it checked no change.
+	broken, notRun bool
+	err            error
+}
+
 // runSeed runs one seed and prints its report.
-func (c *soakCommand) runSeed(ctx context.Context, config soak.Config, seed uint64, printing *sync.Mutex) (soak.Report, error) {
+func (c *soakCommand) runSeed(ctx context.Context, config soak.Config, seed uint64, printing *sync.Mutex) seedResult {
 	var faultLog []string
 	config.Seed, config.Folder = seed, filepath.Join(c.folder, fmt.Sprint("seed-", seed))
 	config.OnFault = func(line string) {
 		faultLog = append(faultLog, time.Now().UTC().Format("15:04:05.000 ")+line)
 	}
 	report, err := soak.Run(ctx, config)
-	if err != nil {
-		return report, err
+	if err == nil {
+		err = os.WriteFile(filepath.Join(config.Folder, "faults.log"), []byte(strings.Join(faultLog, "\n")+"\n"), 0o600)
 	}
-	if err := os.WriteFile(filepath.Join(config.Folder, "faults.log"), []byte(strings.Join(faultLog, "\n")+"\n"), 0o600); err != nil {
-		return report, err
+	if err != nil {
+		return seedResult{err: err}
 	}
 	printing.Lock()
 	defer printing.Unlock()
@@ -130,17 +132,7 @@
 		}
 		fmt.Println("  logs in", config.Folder)
 	}
-	return report, nil
-}
-
-func printReport(r *soak.Report) {
-	fmt.Printf("seed %d: %d requests, %d served, %d faults, %d checks of changes, %.2f of the repeats allowed, %d promises broken\n",
-		r.Seed, r.Requests, r.Served, r.Faults, r.Checks, r.MostRepeats, len(r.Broken))
-	if !r.Checked() {
-		fmt.Printf("seed %d: not run\n", r.Seed)
-	}
-	fmt.Printf("  %d requests judged, %d tell versions apart; greatest of %d lags %v; older version last in force %v\n",
-		r.Judged, r.Telling, r.Lags, r.GreatestLag, r.LatestOld)
+	return seedResult{broken: len(report.Broken) > 0, notRun: !report.Checked()}
 }
 
 // parseSeries parses steps such as "0s:refuse-most,9s:configure".
@@ -159,3 +151,13 @@
 	}
 	return steps, nil
 }
+
+func printReport(r *soak.Report) {
+	fmt.Printf("seed %d: %d requests, %d served, %d faults, %d checks of changes, %.2f of the repeats allowed, %d promises broken\n",
+		r.Seed, r.Requests, r.Served, r.Faults, r.Checks, r.MostRepeats, len(r.Broken))
+	if !r.Checked() {
+		fmt.Printf("seed %d: not run\n", r.Seed)
+	}
+	fmt.Printf("  %d requests judged, %d tell versions apart; greatest of %d lags %v; older version last in force %v\n",
+		r.Judged, r.Telling, r.Lags, r.GreatestLag, r.LatestOld)
+}
--- a/proof/soak/bounds.go
+++ b/proof/soak/bounds.go
@@ -102,11 +102,11 @@
 		n := (first + i) % len(r.vms)
 		vm, proxy := r.vms[n], r.storeProxies[n]
 		names = append(names, vm.boot.VM)
-		r.setMode(proxy, Refuse)
+		r.setStoreProxy(n, Refuse)
 		proxy.Reset()
 		vm.markDisturbed()
 		r.scheduleAfter(refusedFor, func() {
-			r.setMode(proxy, Pass)
+			r.setStoreProxy(n, Pass)
 			vm.markDisturbed()
 		})
 	}
--- a/proof/soak/disruptions.go
+++ b/proof/soak/disruptions.go
@@ -10,9 +10,9 @@
 const (
 	minRefusal = 5 * time.Second
 	maxRefusal = 12 * time.Second
-	// changeInterval is the time between two changes of the configuration while the store
+	// quickChange is the time between two changes of the configuration while the store
 	// refuses most VMs.
-	changeInterval = time.Second
+	quickChange = time.Second
 	// minRestart and maxRestart limit how long a store that restarts refuses all calls.
 	minRestart = 300 * time.Millisecond
 	maxRestart = time.Second
@@ -28,6 +28,7 @@
 func disruptionKinds() []faultKind {
 	return []faultKind{
 		{"stall-store-connections", 2, (*run).stallStoreConnections},
+		{"stall-store-watches", 1, (*run).stallStoreWatches},
 		{"refuse-most", 1, (*run).refuseMost},
 		{"refuse-then-move", 1, (*run).refuseThenMove},
 		{"refuse-and-strike", 1, (*run).refuseAndStrike},
@@ -37,6 +38,12 @@
 	}
 }
 
+func (r *run) setMode(p *Proxy, m Mode) {
+	if err := p.SetMode(m); err != nil {
+		r.log.reportBroken("mode %v of the proxy %s: %v", m, p.Address(), err)
+	}
+}
+
 func (r *run) randomBetween(least, most time.Duration) time.Duration {
 	return least + time.Duration(r.random.Int64N(int64(most-least)))
 }
@@ -51,37 +58,51 @@
 	all := r.random.IntN(2) == 0
 	var stalled []string
 	for i := first; i < first+count; i++ {
-		n := r.storeProxies[i].Stall(func() bool { return all || r.random.IntN(2) == 0 })
-		r.vms[i].markDisturbed()
-		r.touch.mark(r.vms[i].id(), lossy, time.Now())
+		n := r.storeProxies[i].Stall(func(bool) bool { return all || r.random.IntN(2) == 0 })
+		r.markStalled(r.vms[i])
 		stalled = append(stalled, fmt.Sprint(n, " of ", r.vms[i].boot.VM))
 	}
 	return strings.Join(stalled, ", ")
 }
 
-// refuse lets the store refuse a VM in a way, until the proxy's mode is Pass again.
-func (r *run) refuse(i int, way Mode) { r.setMode(r.storeProxies[i], way) }
+// stallStoreWatches makes the connections of all VMs to the store on which a call waits
+// silent for good. Idle connections and new ones work.
+func (r *run) stallStoreWatches() string {
+	var stalled []string
+	for i, vm := range r.vms {
+		n := r.storeProxies[i].Stall(func(waiting bool) bool { return waiting })
+		r.markStalled(vm)
+		stalled = append(stalled, fmt.Sprint(n, " of ", vm.boot.VM))
+	}
+	return strings.Join(stalled, ", ")
+}
 
-// admit ends a refusal. Connections that lost bytes meanwhile stay silent.
-func (r *run) admit(i int) { r.setMode(r.storeProxies[i], Pass) }
+// markStalled records that connections of a VM died.
+func (r *run) markStalled(vm *process) {
+	vm.markDisturbed()
+	at := time.Now()
+	r.touch.set(vm.id(), lossy, true, at)
+	r.touch.set(vm.id(), lossy, false, at)
+}
 
-// refuseAllBut lets the store refuse all VMs but one in a random way.
+// refuseAllBut lets the store refuse all VMs but one in a random way. The store serves a VM
+// at all times, so that the others stay in touch.
 func (r *run) refuseAllBut(served int) Mode {
 	way := refusals[r.random.IntN(len(refusals))]
-	r.admit(served)
+	r.setStoreProxy(served, Pass)
 	for i := range r.vms {
 		if i != served {
-			r.refuse(i, way)
+			r.setStoreProxy(i, way)
 		}
 	}
 	return way
 }
 
-// changeUntil changes the configuration every changeInterval for a duration.
+// changeUntil changes the configuration every quickChange for a duration.
 func (r *run) changeUntil(duration time.Duration) {
-	for at := changeInterval; at < duration; at += changeInterval {
-		jitter := time.Duration(r.random.Int64N(int64(changeInterval / 2)))
-		r.scheduleAfter(at-jitter, func() { r.reportFault("configure %s", r.configure()) })
+	for at := quickChange; at < duration; at += quickChange {
+		jitter := time.Duration(r.random.Int64N(int64(quickChange / 2)))
+		r.scheduleAfter(at-jitter, r.change)
 	}
 }
 
@@ -89,7 +110,7 @@
 func (r *run) admitAllAfter(duration time.Duration) {
 	r.scheduleAfter(duration, func() {
 		for i := range r.vms {
-			r.admit(i)
+			r.setStoreProxy(i, Pass)
 		}
 	})
 }
@@ -151,10 +172,10 @@
 func (r *run) restartRefused() string {
 	i, vm := r.randomVM()
 	way, duration := refusals[r.random.IntN(len(refusals))], r.randomBetween(minRefusal, maxRefusal)
-	r.refuse(i, way)
+	r.setStoreProxy(i, way)
 	r.killVM(vm, minFaultDuration)
 	r.changeUntil(duration)
-	r.scheduleAfter(duration, func() { r.admit(i) })
+	r.scheduleAfter(duration, func() { r.setStoreProxy(i, Pass) })
 	return fmt.Sprintf("%s, %v, for %v", vm.boot.VM, way, duration)
 }
 
@@ -162,15 +183,17 @@
 // is up again.
 func (r *run) restartStore() string {
 	for i := range r.vms {
-		r.refuse(i, Closed)
+		r.setStoreProxy(i, Closed)
 	}
 	r.storeDisturbedAt = time.Now()
+	r.touch.setStore(true, r.storeDisturbedAt)
 	down := r.randomBetween(minRestart, maxRestart)
 	r.scheduleAfter(down, func() {
 		for i := range r.vms {
-			r.admit(i)
+			r.setStoreProxy(i, Pass)
 		}
 		r.storeDisturbedAt = time.Now()
+		r.touch.setStore(false, r.storeDisturbedAt)
 	})
 	return fmt.Sprint("for ", down)
 }
@@ -179,10 +202,10 @@
 func (r *run) loseOneWay() string {
 	i, vm := r.randomVM()
 	mode := []Mode{CutAnswers, CutAsks}[r.random.IntN(2)]
-	r.setMode(r.storeProxies[i], mode)
+	r.setStoreProxy(i, mode)
 	vm.markDisturbed()
 	r.scheduleAfter(r.randomDuration(), func() {
-		r.admit(i)
+		r.setStoreProxy(i, Pass)
 		vm.markDisturbed()
 	})
 	return fmt.Sprintf("%s %v", vm.boot.VM, mode)
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -185,13 +185,13 @@
 	i, vm := r.randomVM()
 	mode := Mode(1 + r.random.IntN(int(Silent)))
 	p := r.storeProxies[i]
-	r.setMode(p, mode)
+	r.setStoreProxy(i, mode)
 	if r.random.IntN(2) == 0 {
 		p.Reset()
 	}
 	vm.markDisturbed()
 	r.scheduleAfter(r.randomDuration(), func() {
-		r.setMode(p, Pass)
+		r.setStoreProxy(i, Pass)
 		// Bytes that a cut discarded are missing from the stream, so the connection
 		// can't be used any more.
 		p.Reset()
--- a/proof/soak/process.go
+++ b/proof/soak/process.go
@@ -91,21 +91,22 @@
 		return nil
 	}
 	err := p.command.Process.Signal(s)
+	if s == syscall.SIGCONT {
+		p.touch.set(p.id(), frozen, false, time.Now())
+	}
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
 	}
 	return err
 }
 
-// recordSignal records the disturbance that a signal begins or ends.
+// recordSignal records the disturbance that a signal begins.
 func (p *process) recordSignal(s syscall.Signal, at time.Time) {
 	switch s {
 	case syscall.SIGTERM, syscall.SIGKILL:
 		p.touch.set(p.id(), stopped, true, at)
 	case syscall.SIGSTOP:
 		p.touch.set(p.id(), frozen, true, at)
-	case syscall.SIGCONT:
-		p.touch.set(p.id(), frozen, false, at)
 	}
 }
 
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -229,8 +229,8 @@
 		return err
 	}
 	r.site = site
-	r.recordFirst()
 	site.Platform.SetStaleness(r.config.Staleness)
+	r.recordFirst()
 	for i := range site.Boots {
 		// Each VM reaches the store through its own proxy.
 		p, err := NewProxy(site.Platform.Address())
--- a/proof/soak/touch.go
+++ b/proof/soak/touch.go
@@ -133,13 +133,6 @@
 	t.updateUnserved(at)
 }
 
-// mark records a disturbance of a VM that ends as it begins.
-func (t *touchLog) mark(id ident.VMID, c cause, at time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.vm(id).causes[c].mark(at)
-}
-
 // started records that a process of the VM was started.
 func (t *touchLog) started(id ident.VMID, at time.Time) {
 	t.mu.Lock()
