--- a/serve/mirror/listing.go
+++ b/serve/mirror/listing.go
@@ -28,6 +28,7 @@
 	if result != accepted {
 		return platform.Listing[T]{}, false
 	}
+	r.cache.MarkDisconnected()
 	r.cache.SetListingWhileDisconnected(l, origin)
 	r.recordAnswer(origin.Path)
 	return l, true
@@ -51,6 +52,7 @@
 	ended := make(chan struct{})
 	var l platform.Listing[T]
 	var err error
+	askedOthers := false
 	go func() {
 		defer close(ended)
 		l, err = r.source.List(call)
@@ -61,6 +63,7 @@
 		select {
 		case <-ended:
 		case <-timer.C:
+			askedOthers = true
 			if other, ok := r.listOthers(ctx, ended); ok {
 				cancel()
 				<-ended
@@ -77,8 +80,10 @@
 	}
 	r.recordStoreFailure(err)
 	r.cache.MarkDisconnected()
-	if other, ok := r.listOthers(ctx, nil); ok {
-		return other, nil
+	if !askedOthers {
+		if other, ok := r.listOthers(ctx, nil); ok {
+			return other, nil
+		}
 	}
 	return platform.Listing[T]{}, err
 }
--- a/serve/peer/peer.go
+++ b/serve/peer/peer.go
@@ -377,6 +377,9 @@
 	defer cancel()
 	defer context.AfterFunc(item.ctx, cancel)()
 	conn.begin(time.Now())
+	// A VM that responds acknowledges the request long before it answers.
+	silence := time.AfterFunc(maxSilence, func() { conn.usable(time.Now()) })
+	defer silence.Stop()
 	body, err := t.roundTrip(ctx, conn.Conn, item.body)
 	if err == nil {
 		now := time.Now()
--- a/serve/peer/pinned.go
+++ b/serve/peer/pinned.go
@@ -28,10 +28,10 @@
 }
 
 // An Unlisted is called for a certificate that names a listed VM but is not the listed one:
-// the VM has restarted since the list was read, or something else uses its name. It returns
-// whether to accept the certificate of a VM that was dialled at its listed address. It may be
-// called from several goroutines and must not block.
-type Unlisted func(vm ident.VMID) bool
+// the VM has restarted since the list was read, or something else uses its name. If the VM was
+// dialled at its listed address, it returns whether to accept the certificate. It may be called
+// from several goroutines and must not block.
+type Unlisted func(vm ident.VMID, dialled bool) bool
 
 // NewPinned returns the identity of a VM with a new key and certificate.
 // lookupDigest returns the listed digest of another VM's certificate; it may be
@@ -94,7 +94,7 @@
 			if listed == certificateDigest(raw[0]) {
 				return nil
 			}
-			if p.unlisted != nil && p.unlisted(name) && expected != "" {
+			if p.unlisted != nil && p.unlisted(name, expected != "") && expected != "" {
 				return nil
 			}
 		}
--- a/serve/peer/pinned_test.go
+++ b/serve/peer/pinned_test.go
@@ -53,7 +53,7 @@
 				refused["entry-2"], refused["entry-3"] = "of the previous process", "of the previous process"
 			}
 			asked := 0
-			asker := newPinned(t, "entry-1", refused, func(ident.VMID) bool { asked++; return tc.accepts })
+			asker := newPinned(t, "entry-1", refused, func(ident.VMID, bool) bool { asked++; return tc.accepts })
 			restarted := newPinned(t, "entry-2", served, nil)
 			served["entry-1"] = asker.Digest()
 			from, to := listenPinned(t, asker), listenPinned(t, restarted)
@@ -75,7 +75,7 @@
 func TestUnlistedCallersAreRefused(t *testing.T) {
 	listed := map[ident.VMID]string{"entry-2": "of the previous process"}
 	reported := make(chan ident.VMID, 16)
-	served := newPinned(t, "entry-1", listed, func(vm ident.VMID) bool { reported <- vm; return true })
+	served := newPinned(t, "entry-1", listed, func(vm ident.VMID, _ bool) bool { reported <- vm; return true })
 	caller := newPinned(t, "entry-2", map[ident.VMID]string{"entry-1": served.Digest()}, nil)
 	from, to := listenPinned(t, caller), listenPinned(t, served)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -126,12 +126,12 @@
 // restarted. It asks for a new list of VMs, and accepts the certificate if this VM reads
 // neither the store nor a mirror and so can't get one. The address of the VM then has to do,
 // as for the store itself.
-func (v *VM) acceptUnlisted(vm ident.VMID) bool {
+func (v *VM) acceptUnlisted(vm ident.VMID, dialled bool) bool {
 	select {
 	case v.listOutdated <- struct{}{}:
 	default:
 	}
-	accept := !v.mirrors.readers.configurations.Connected()
+	accept := dialled && !v.mirrors.readers.configurations.Connected()
 	v.log.Info().Str("vm", string(vm)).Bool("accepted", accept).Msg("certificate-not-listed")
 	return accept
 }
--- a/serve/watch/prober.go
+++ b/serve/watch/prober.go
@@ -40,7 +40,8 @@
 	// confirm, if not nil, is called with the start of each probe that finds the store
 	// responsive.
 	confirm func(at time.Time)
-	// addedAt is when the call was added.
+	// id is the number of the call, and addedAt when it was added.
+	id      uint64
 	addedAt time.Time
 	// lastProbe is the number of the last probe in turn for this call.
 	lastProbe uint64
@@ -182,46 +183,41 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.time()
-	if p.lastErr == nil {
-		next, delay = p.nextCheck(now)
-	}
-	if next.run != nil {
-		return next, nil, 0
-	}
+	check, checkIn := p.nextCheck(now)
 	inTurn, callID := p.nextInTurn()
-	if inTurn != nil {
-		if left := probeInterval - now.Sub(p.turnAt); left <= 0 {
-			p.probes++
-			inTurn.lastProbe = p.probes
-			return probe{callID: callID, run: inTurn.probe}, nil, 0
-		} else if delay == 0 || left < delay {
-			delay = left
+	turnIn := probeInterval - now.Sub(p.turnAt)
+	switch {
+	case check == nil && inTurn == nil:
+		return probe{}, p.updated.Next(), 0
+	case inTurn == nil || check != nil && checkIn < turnIn:
+		if checkIn > 0 {
+			return probe{}, p.updated.Next(), checkIn
 		}
-	}
-	return probe{}, p.updated.Next(), delay
+		if p.checkedAt == nil {
+			p.checkedAt = map[string]time.Time{}
+		}
+		p.checkedAt[check.kind] = now
+		return probe{callID: check.id, run: check.check, isCheck: true}, nil, 0
+	case turnIn > 0:
+		return probe{}, p.updated.Next(), turnIn
+	}
+	p.probes++
+	inTurn.lastProbe = p.probes
+	return probe{callID: callID, run: inTurn.probe}, nil, 0
 }
 
-// nextCheck returns the check that is due first. If none is due yet, it returns the delay
-// until one is; 0 if no call is checked. The lock must be held.
-func (p *Prober) nextCheck(now time.Time) (next probe, delay time.Duration) {
-	var first *waitingCall
-	for id, c := range p.waiting {
-		if c.check == nil || c.cancel == nil {
+// nextCheck returns the call whose check is due first, and the time until then; nil without a
+// call that is checked, and while the store is silent. The lock must be held.
+func (p *Prober) nextCheck(now time.Time) (first *waitingCall, left time.Duration) {
+	for _, c := range p.waiting {
+		if c.check == nil || p.lastErr != nil {
 			continue
 		}
-		if left := p.untilCheck(now, c); first == nil || left < delay {
-			first, delay = c, left
-			next = probe{callID: id, run: c.check, isCheck: true}
+		if l := p.untilCheck(now, c); first == nil || l < left {
+			first, left = c, l
 		}
 	}
-	if first == nil || delay > 0 {
-		return probe{}, delay
-	}
-	if p.checkedAt == nil {
-		p.checkedAt = map[string]time.Time{}
-	}
-	p.checkedAt[first.kind] = now
-	return next, 0
+	return first, left
 }
 
 // untilCheck returns the time until the next check of a call. The lock must be held.
@@ -321,7 +317,7 @@
 		p.waiting = map[uint64]*waitingCall{}
 	}
 	p.lastID++
-	c.lastProbe, c.addedAt = p.probes, p.time()
+	c.id, c.lastProbe, c.addedAt = p.lastID, p.probes, p.time()
 	p.waiting[p.lastID] = c
 	if len(p.waiting) == 1 || c.check != nil {
 		p.updated.Broadcast()
