--- a/serve/mirror/reading.go
+++ b/serve/mirror/reading.go
@@ -122,6 +122,9 @@
 		}
 	case reply := <-s.vms:
 		s.asking = slices.DeleteFunc(s.asking, func(vm ident.VMID) bool { return vm == reply.from.VM })
+		if s.isVouched(reply) {
+			return false, nil, 0, nil
+		}
 		a, result := s.reader.acceptOther(reply, s.after)
 		switch {
 		case result == accepted && a.Outcome == Compacted:
@@ -153,6 +156,18 @@
 	return r.selector.ReadsStore() && len(s.asking) > 0 && time.Since(s.storeFailedAt) >= repeatDelay
 }
 
+// isVouched reports whether a reply confirms the objects of a VM that waits for changes from
+// the store, which is slow or does not respond. It then goes on to wait.
+func (s *reading[T]) isVouched(reply vmReply) bool {
+	r, a := s.reader, reply.answer
+	if reply.err != nil || a.Outcome != OK || len(a.Changes) > 0 || s.storeCalled.IsZero() || !r.cache.readsStore() ||
+		r.isTooOld(reply) || !r.selector.accepts(r.time(), a.Path) {
+		return false
+	}
+	r.cache.ConfirmFromStore(reply.asked.Add(a.Confirmed))
+	return true
+}
+
 // callStore calls the store. A VM that the store did not serve last does not wait for
 // changes, so that it soon knows that the store serves it again.
 func (s *reading[T]) callStore(ctx context.Context) {
@@ -181,8 +196,8 @@
 	if delay > 0 {
 		return delay, true
 	}
-	if len(s.asking) < maxCandidates {
-		now := time.Now()
+	now := time.Now()
+	if len(s.asking) < maxCandidates && s.askedSince(now.Add(-repeatDelay)) < maxCandidates {
 		for _, m := range s.reader.selector.Others(s.reader.time(), s.reader.relays()) {
 			if !slices.Contains(s.asking, m.VM) && s.mayAsk(m.VM, now) {
 				s.ask(ctx, m)
@@ -197,6 +212,17 @@
 	return delay, len(s.asking) > 0 || !s.storeCalled.IsZero()
 }
 
+// askedSince returns the number of VMs that were asked since a time.
+func (s *reading[T]) askedSince(since time.Time) int {
+	n := 0
+	for _, at := range s.askedAt {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
 // mayAsk reports whether to ask a VM. While the store is called, VMs are asked again, and as
 // many as there are. Without a wait an answer would be the same again.
 func (s *reading[T]) mayAsk(vm ident.VMID, now time.Time) bool {
--- a/serve/mirror/series_test.go
+++ b/serve/mirror/series_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 	// startsAt is when the VM starts.
 	startsAt time.Duration
 	// asked counts the questions to other VMs.
-	asked int
+	asked atomic.Int64
 	mu    sync.Mutex
 	// readAt holds when the VM read each version.
 	readAt map[platform.StoreVersion]time.Duration
@@ -100,7 +101,7 @@
 
 // Ask is the transport of the VM.
 func (v *seriesVM) Ask(ctx context.Context, to mirror.Member, q mirror.Question) (mirror.Answer[[]byte], error) {
-	v.asked++
+	v.asked.Add(1)
 	v.awaitWake(ctx)
 	other := v.series.vms[to.VM]
 	clock.Sleep(ctx, seriesLatency)
@@ -259,7 +260,7 @@
 			<-ended
 		}
 		for _, v := range s.vms {
-			questions = max(questions, float64(v.asked)/s.now().Seconds())
+			questions = max(questions, float64(v.asked.Load())/s.now().Seconds())
 			if !v.isCalm() {
 				continue
 			}
--- a/serve/mirror/served_again_test.go
+++ b/serve/mirror/served_again_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,12 +14,12 @@
 )
 
 // A quietStore has no changes. While it is reset, it refuses calls at once.
-type quietStore struct{ reset bool }
+type quietStore struct{ reset atomic.Bool }
 
 func (s *quietStore) Kind() string { return "things" }
 
 func (s *quietStore) err() error {
-	if s.reset {
+	if s.reset.Load() {
 		return &platform.Error{Op: "read", Kind: platform.Unreachable, Err: errDown}
 	}
 	return nil
@@ -33,7 +34,7 @@
 }
 
 func (s *quietStore) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) ([]platform.Change[string], platform.StoreVersion, error) {
-	if s.reset {
+	if s.reset.Load() {
 		return nil, after, s.err()
 	}
 	select {
@@ -66,9 +67,9 @@
 		go func() { prober.Run(ctx); ended <- struct{}{} }()
 		go func() { watch.Follow(ctx, r, ignoreAll); ended <- struct{}{} }()
 		time.Sleep(5 * time.Second)
-		store.reset = true
+		store.reset.Store(true)
 		time.Sleep(time.Second)
-		store.reset = false
+		store.reset.Store(false)
 		time.Sleep(4 * time.Second)
 		if f := r.Freshness(); f.Age > 2*time.Second || len(f.Path) > 0 {
 			t.Errorf("4 s after the store is back, the objects are %v old and came by %v", f.Age, f.Path)
--- a/serve/vm/ages_test.go
+++ b/serve/vm/ages_test.go
@@ -53,7 +53,7 @@
 	}
 	v.mirrors.selector.AlwaysReadStore()
 	same := func(b []byte) ([]byte, error) { return b, nil }
-	return v, newReader(v, v.mirrors, store, 0, mirror.Codec[[]byte]{Marshal: same, Unmarshal: same})
+	return v, newReader(v, v.mirrors, store, probedInTurn, mirror.Codec[[]byte]{Marshal: same, Unmarshal: same})
 }
 
 // TestOverdueObjectsAreLoggedDuringARead guards against a VM that holds old objects without
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -68,20 +68,19 @@
 	m.prober.Now = m.clock.Now
 	m.answerFuncs = map[string]func(context.Context, mirror.Question) mirror.Answer[[]byte]{}
 	m.monitors = map[string]*kindMonitor{}
-	checked := time.Duration(checkFraction * float64(d.ApplyWithin))
 	m.readers = readers{
-		replicas: newReader(v, m, d.Replicas, checked, mirror.Codec[catalogue.Replica]{
+		replicas: newReader(v, m, d.Replicas, checkedCurrent, mirror.Codec[catalogue.Replica]{
 			Marshal:   func(r catalogue.Replica) ([]byte, error) { return codec.MarshalReplica(v.clock.Now(), r) },
 			Unmarshal: func(b []byte) (catalogue.Replica, error) { return codec.UnmarshalReplica(v.clock.Now(), b) },
 		}),
-		configurations: newReader(v, m, d.Configurations, checked, mirror.Codec[catalogue.Configuration]{
+		configurations: newReader(v, m, d.Configurations, checkedCurrent, mirror.Codec[catalogue.Configuration]{
 			Marshal: codec.MarshalRoutes, Unmarshal: codec.UnmarshalRoutes,
 		}),
-		zonesOut: newReader(v, m, d.ZonesOut, 0, mirror.Codec[ident.ZoneID]{
+		zonesOut: newReader(v, m, d.ZonesOut, checkedStale, mirror.Codec[ident.ZoneID]{
 			Marshal:   func(z ident.ZoneID) ([]byte, error) { return []byte(z), nil },
 			Unmarshal: func(b []byte) (ident.ZoneID, error) { return ident.ZoneID(b), nil },
 		}),
-		presets: newReader(v, m, d.Presets, 0, mirror.Codec[[]byte]{
+		presets: newReader(v, m, d.Presets, probedInTurn, mirror.Codec[[]byte]{
 			Marshal:   func(b []byte) ([]byte, error) { return b, nil },
 			Unmarshal: func(b []byte) ([]byte, error) { return b, nil },
 		}),
@@ -99,11 +98,26 @@
 	return nil
 }
 
+// A checkMode is how a VM that reads the store checks for changes that a watch did not return.
+type checkMode uint8
+
+const (
+	// probedInTurn means stale reads in turn with those of other kinds.
+	probedInTurn checkMode = iota
+	// checkedStale means stale reads at an interval, for a bound longer than
+	// Discovery.ApplyWithin.
+	checkedStale
+	// checkedCurrent means reads at an interval that miss nothing.
+	checkedCurrent
+)
+
 // newReader returns a Reader of a source of the store and registers the functions that
-// answer questions about it. The store is checked for changes that a watch did not return at
-// an interval, or by stale reads now and then if it is 0.
-func newReader[T any](v *VM, m *mirrors, source watch.Probeable[T], checkInterval time.Duration, valueCodec mirror.Codec[T]) *mirror.Reader[T] {
-	guarded := &watch.Guarded[T]{Probeable: source, Prober: m.prober, CheckInterval: checkInterval}
+// answer questions about it.
+func newReader[T any](v *VM, m *mirrors, source watch.Probeable[T], mode checkMode, valueCodec mirror.Codec[T]) *mirror.Reader[T] {
+	guarded := &watch.Guarded[T]{Probeable: source, Prober: m.prober, StaleChecks: mode == checkedStale}
+	if mode != probedInTurn {
+		guarded.CheckInterval = time.Duration(checkFraction * float64(v.discovery.ApplyWithin))
+	}
 	observed := observedSource[T]{Source: guarded, behind: v.logWatchBehind}
 	r := mirror.NewReader[T](observed, valueCodec, m.selector, mirrorClient{v})
 	guarded.Confirmed = r.Confirm
@@ -123,15 +137,16 @@
 }
 
 // acceptUnlisted handles a certificate of a VM that is not the listed one: the VM may have
-// restarted. It asks for a new list of VMs, and accepts the certificate if this VM reads
-// neither the store nor a mirror and so can't get one. The address of the VM then has to do,
+// restarted. It asks for a new list of VMs, and accepts the certificate if this VM has lost
+// its path to the store and to its mirrors and so can't get one. The address of the VM then has to do,
 // as for the store itself.
 func (v *VM) acceptUnlisted(vm ident.VMID, dialled bool) bool {
 	select {
 	case v.listOutdated <- struct{}{}:
 	default:
 	}
-	accept := dialled && !v.mirrors.readers.configurations.Connected()
+	configurations := v.mirrors.readers.configurations
+	accept := dialled && configurations.Freshness().Version > 0 && !configurations.Connected()
 	v.log.Info().Str("vm", string(vm)).Bool("accepted", accept).Msg("certificate-not-listed")
 	return accept
 }
--- a/serve/vm/rollout.go
+++ b/serve/vm/rollout.go
@@ -148,7 +148,7 @@
 	if !v.settings.RolloutBounds().Set() || v.discovery.Rollouts.Orders == nil {
 		return
 	}
-	m.readers.orders = newReader(v, m, v.discovery.Rollouts.Orders, 0, mirror.Codec[rollout.Order]{
+	m.readers.orders = newReader(v, m, v.discovery.Rollouts.Orders, probedInTurn, mirror.Codec[rollout.Order]{
 		Marshal: codec.MarshalOrder, Unmarshal: codec.UnmarshalOrder,
 	})
 }
--- a/serve/watch/prober.go
+++ b/serve/watch/prober.go
@@ -15,9 +15,6 @@
 	probeInterval = 700 * time.Millisecond
 	// probeTimeout limits a probe: 200 times the store's usual response time.
 	probeTimeout = 800 * time.Millisecond
-	// recoveryProbeTimeout limits a probe of a silent store. It is shorter than probeInterval,
-	// so that a probe without a response does not delay the next one.
-	recoveryProbeTimeout = probeInterval / 2
 	// SilenceDetectionTime is the longest time from the store's last response until all
 	// calls that wait for it are cancelled.
 	SilenceDetectionTime = probeInterval + probeTimeout
@@ -45,8 +42,7 @@
 	addedAt time.Time
 	// lastProbe is the number of the last probe in turn for this call.
 	lastProbe uint64
-	// check is the probe of a call that is checked; nil for one that is probed in turn. It is
-	// not a stale read, so that it misses no change.
+	// check is the probe of a call that is checked; nil for one that is probed in turn.
 	check probeFunc
 	// kind is the kind of object that the call waits for, and checkInterval the time between
 	// two checks of it. Both are set if check is.
@@ -96,8 +92,10 @@
 	// callID is the call that it was made for; 0 for none.
 	callID uint64
 	run    probeFunc
-	// isCheck reports whether it is the check of the call.
+	// isCheck reports whether it is the check of the call, and confirm, which may be nil, is
+	// that of the call.
 	isCheck bool
+	confirm func(at time.Time)
 }
 
 // Run probes the store while calls wait for it, until the context is done.
@@ -137,28 +135,34 @@
 	if !probe.isCheck {
 		p.turnAt = startedAt
 	}
-	timeout := probeTimeout
-	if p.lastErr != nil {
-		timeout = recoveryProbeTimeout
-	}
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	limited, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	behind, err := probe.run(ctx)
+	behind, err := probe.run(limited)
+	if err != nil && ctx.Err() != nil {
+		// The caller gave up, which says nothing about the store.
+		return
+	}
 	p.recordProbe(probe.callID, behind && probe.callID != 0, err)
 	if err == nil && !behind {
 		p.confirmCalls(startedAt, probe)
 	}
 }
 
-// confirmCalls reports a probe that found no changes, to the call that it checked. A probe in
-// turn is reported to the calls without a check that waited for the store when it started: a
-// store that is responsive would have answered them.
+// confirmCalls reports a probe that found no changes. A check is reported to the call that it
+// was made for, which may have ended since; a probe in turn to the calls without a check that
+// waited for the store when it started: a store that is responsive would have answered them.
 func (p *Prober) confirmCalls(startedAt time.Time, probe probe) {
+	if probe.isCheck {
+		if probe.confirm != nil {
+			probe.confirm(startedAt)
+		}
+		return
+	}
 	var confirms []func(time.Time)
 	p.mu.Lock()
-	for id, c := range p.waiting {
-		if c.confirm != nil && !c.addedAt.After(startedAt) && probe.confirms(id, c) {
+	for _, c := range p.waiting {
+		if c.confirm != nil && c.check == nil && !c.addedAt.After(startedAt) {
 			confirms = append(confirms, c.confirm)
 		}
 	}
@@ -168,14 +172,6 @@
 	}
 }
 
-// confirms reports whether the probe shows that the store has no changes for a call.
-func (p probe) confirms(id uint64, c *waitingCall) bool {
-	if c.check != nil {
-		return p.isCheck && p.callID == id
-	}
-	return true
-}
-
 // nextProbe returns the next probe, if one is due. Otherwise its run is nil, and nextProbe
 // returns a channel that is closed at the next update, and the delay until a probe is due; 0
 // if no call waits.
@@ -197,7 +193,7 @@
 			p.checkedAt = map[string]time.Time{}
 		}
 		p.checkedAt[check.kind] = now
-		return probe{callID: check.id, run: check.check, isCheck: true}, nil, 0
+		return probe{callID: check.id, run: check.check, isCheck: true, confirm: check.confirm}, nil, 0
 	case turnIn > 0:
 		return probe{}, p.updated.Next(), turnIn
 	}
@@ -375,6 +371,9 @@
 	// CheckInterval is the time between two checks for changes that a waiting call did not
 	// return. 0 means that stale reads in turn with those of other kinds suffice.
 	CheckInterval time.Duration
+	// StaleChecks makes the checks stale reads, which miss the changes of the last seconds
+	// and cost a tenth.
+	StaleChecks bool
 }
 
 // List returns all objects.
@@ -393,6 +392,9 @@
 	call := waitingCall{probe: g.probe(after), confirm: g.Confirmed}
 	if g.CheckInterval > 0 {
 		call.check, call.kind, call.checkInterval = g.check(after), g.Kind(), g.CheckInterval
+		if g.StaleChecks {
+			call.check = call.probe
+		}
 	}
 	guarded, release, err := g.Prober.guard(ctx, call)
 	if err != nil {
--- a/serve/watch/prober_test.go
+++ b/serve/watch/prober_test.go
@@ -181,3 +181,45 @@
 		}
 	})
 }
+
+// slowStore is a fakeStore whose probes take a while.
+type slowStore struct {
+	fakeStore
+	latency time.Duration
+}
+
+func (s *slowStore) Look(ctx context.Context, _ platform.StoreVersion) (bool, error) {
+	select {
+	case <-time.After(s.latency):
+	case <-ctx.Done():
+	}
+	return false, ctx.Err()
+}
+
+// TestGivingUpIsNoSilence guards against a store that counts as silent, for all kinds, because
+// a caller that another VM answered first gave up its call during a probe.
+func TestGivingUpIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &watch.Prober{}
+		source := watch.Guarded[string]{Probeable: &slowStore{latency: 20 * time.Millisecond}, Prober: prober}
+		waiting := make(chan error, 1)
+		go func() {
+			_, _, err := source.Changes(t.Context(), 1, 10*time.Second)
+			waiting <- err
+		}()
+		// Without Run, the last probe is so old by then that the call makes one.
+		time.Sleep(3 * time.Second)
+		ctx, cancel := context.WithTimeoutCause(t.Context(), 5*time.Millisecond, context.Canceled)
+		defer cancel()
+		if _, _, err := source.Changes(ctx, 1, time.Second); err == nil {
+			t.Fatal("the call that was given up has a result")
+		}
+		began := time.Now()
+		if _, err := source.List(t.Context()); err != nil || time.Since(began) > time.Second/2 {
+			t.Errorf("the next call took %v: %v", time.Since(began), err)
+		}
+		if err := <-waiting; err != nil {
+			t.Errorf("the call that waited: %v", err)
+		}
+	})
+}
--- a/serve/watch/watch.go
+++ b/serve/watch/watch.go
@@ -158,7 +158,7 @@
 			clock.Sleep(ctx, backoff.Next(rand.Float64()))
 			continue
 		default:
-			w.awaitListing(ctx, jittered(max(interval*3/4, minListInterval)))
+			clock.Sleep(ctx, jittered(max(interval*3/4, minListInterval)))
 			continue
 		}
 		w.awaitListing(ctx, jittered(interval))
