--- a/proof/soak/judge.go
+++ b/proof/soak/judge.go
@@ -81,7 +81,8 @@
 	// handled as no version in force does.
 	Telling int
 	// GreatestLag is the greatest of the lags on VMs that were in touch from the
-	// acknowledgement on, and Lags their number.
+	// acknowledgement on, and Lags their number. It may exceed the true one while changes
+	// follow quickly: only a request that no older version allows shows a version.
 	GreatestLag Lag
 	Lags        int
 	// LatestOld is the longest time after the acknowledgement of a version at which a
