mirror: a large listing may be older than the maximum age

Cause: a listing by another VM was rejected when it was older than the maximum age at its end; with many routes it takes a good part of that. Change: a listing counts by its age when it was asked for, and up to twice the maximum age; the changes after it follow.

--- a/serve/mirror/age.go
+++ b/serve/mirror/age.go
@@ -42,6 +42,10 @@
 	return limited && left <= 0
 }
 
+// maxListingAge is the age, in maximum ages, beyond which all objects of a VM that is no
+// mirror are not used. Changes follow a listing, which takes its time if it is large.
+const maxListingAge = 2
+
 // isTooOld reports whether a reply must not be used because its objects exceed the maximum
 // age: one with nothing new, or all objects of a VM that is no mirror of this one.
 func (r *Reader[T]) isTooOld(reply vmReply) bool {
@@ -49,6 +53,9 @@
 	if a.Outcome != OK || len(a.Changes) > 0 && (q.After > 0 || !q.Disconnected) {
 		return false
 	}
+	if q.After == 0 {
+		return r.MaxAge > 0 && -a.Confirmed > maxListingAge*r.maxAge()
+	}
 	left, limited := r.timeLeft(reply.asked.Add(a.Confirmed))
 	return limited && left <= 0
 }
