--- a/proof/soak/disruptions.go
+++ b/proof/soak/disruptions.go
@@ -87,13 +87,13 @@
 	r.touch.set(vm.id(), lossy, false, at)
 }
 
-// refuseAllBut lets the store refuse all VMs but one in a random way.
+// refuseAllBut lets the store refuse all VMs but one in a random way. The store serves a VM
+// at all times, so that the others stay in touch.
 func (r *run) refuseAllBut(served int) Mode {
 	way := refusals[r.random.IntN(len(refusals))]
+	r.setStoreProxy(served, Pass)
 	for i := range r.vms {
-		if i == served {
-			r.setStoreProxy(i, Pass)
-		} else {
+		if i != served {
 			r.setStoreProxy(i, way)
 		}
 	}
