--- a/serve/mirror/reading.go
+++ b/serve/mirror/reading.go
@@ -144,7 +144,7 @@
 }
 
 // mayCallStore reports whether to call the store while other VMs are asked: if the objects
-// exceed the maximum age since, or again if this VM should read the store.
+// have exceeded the maximum age since, or again if this VM should read the store.
 func (s *reading[T]) mayCallStore() bool {
 	r := s.reader
 	switch {
@@ -190,7 +190,7 @@
 }
 
 // askNext asks the next VM if it is time to. It returns how long to wait until it may be time
-// for another one, 0 for no limit, and false if nothing is outstanding any more.
+// for another one, and false if nothing is outstanding any more.
 func (s *reading[T]) askNext(ctx context.Context) (delay time.Duration, more bool) {
 	delay = s.untilNext()
 	if delay > 0 {
