vm: enter the list of VMs within a second after the store is back

Callers saw: 404 on routes that had been added up to 3.8 s before, on VMs that the store refused after all had restarted while it was down. Cause: the pause after a failed write of a VM's entry grew to 7 s, so that it missed the second in which the store served the VM. Others then refused its new certificate, and it had nobody to read through. Change: the pause is at most a second.

--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -29,6 +29,7 @@
 	{318, usualVMs, usualDuration, "a restarted VM found its port in use: it was from the range for outgoing connections"},
 	{606, usualVMs, usualDuration, "a stop cut off a request that waited at a replica that hangs"},
 	{13, usualVMs, usualDuration, "the checker mistook the process started after a kill for the one that got SIGTERM"},
+	{92021, 4, 12 * time.Second, "a VM that restarted while the store was down entered the list seconds after the store was back"},
 	{85006, 5, 12 * time.Second, "a watch that ended while the store withheld a change led past it"},
 }
 
--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -168,6 +168,10 @@
 // large deployment do not all write at once.
 const maxEntryDelay = 2 * time.Second
 
+// maxEntryRetryDelay limits the pause after a write of the entry that failed: until the entry
+// is in the list, other VMs refuse this one, which may have to read through them.
+const maxEntryRetryDelay = time.Second
+
 // keepEntry adds this VM to the list of VMs, and again after the store came back from a copy,
 // which may lack the entry.
 func (v *VM) keepEntry(ctx context.Context, self roster.Member) {
@@ -193,7 +197,7 @@
 
 // addEntry adds this VM to the list of VMs and retries until it succeeds.
 func (v *VM) addEntry(ctx context.Context, self roster.Member) {
-	backoff := platform.Backoff{}
+	backoff := platform.Backoff{MaxDelay: maxEntryRetryDelay}
 	entry := platform.ListedVM{
 		Name: string(self.VM), Zone: string(self.Zone), Address: self.Address, Incarnation: uint64(self.Incarnation),
 		Certificate: v.mirrors.identity.Digest(),
