--- a/serve/mirror/age.go
+++ b/serve/mirror/age.go
@@ -50,11 +50,13 @@
 // age: one with nothing new, or all objects of a VM that is no mirror of this one.
 func (r *Reader[T]) isTooOld(reply vmReply) bool {
 	a, q := reply.answer, reply.question
-	if a.Outcome != OK || len(a.Changes) > 0 && (q.After > 0 || !q.Disconnected) {
+	switch {
+	case a.Outcome != OK:
 		return false
-	}
-	if q.After == 0 {
+	case q.After == 0 && q.Disconnected:
 		return r.MaxAge > 0 && -a.Confirmed > maxListingAge*r.maxAge()
+	case len(a.Changes) > 0:
+		return false
 	}
 	left, limited := r.timeLeft(reply.asked.Add(a.Confirmed))
 	return limited && left <= 0
--- a/serve/mirror/ask.go
+++ b/serve/mirror/ask.go
@@ -39,9 +39,9 @@
 	return platform.Listing[T]{Items: present, Version: a.Version}, origin, accepted
 }
 
-// relays returns the VMs to ask first by a VM that reads through one that is not its mirror:
-// the one that reads the store itself, unless more VMs than can read from one may do so, and
-// the one that answered last.
+// relays returns the VMs that a VM without a mirror asks first: in a region of up to fanout
+// VMs the one at the end of the last path, which reads the store itself, and the one that
+// answered last.
 func (r *Reader[T]) relays() []ident.VMID {
 	path := r.lastDetour.Path
 	if len(path) == 0 {
@@ -124,13 +124,11 @@
 // send sends a question to another VM and waits for its answer.
 func (r *Reader[T]) send(ctx context.Context, m Member, q Question) (Answer[[]byte], error) {
 	timeout := q.Wait + answerTimeout
-	switch {
-	case q.Disconnected && r.MaxAge > 0:
-		// Others are asked meanwhile.
-	case q.Wait == 0:
-		timeout = immediateAnswerTimeout
-		fallthrough
-	default:
+	// Beside a question of a disconnected VM, others are asked meanwhile.
+	if !q.Disconnected || r.MaxAge == 0 {
+		if q.Wait == 0 {
+			timeout = immediateAnswerTimeout
+		}
 		if q.After > 0 {
 			q.Wait, timeout = r.limitWait(q.Wait, timeout)
 		}
--- a/serve/mirror/cache.go
+++ b/serve/mirror/cache.go
@@ -387,8 +387,8 @@
 
 // Changes returns the changes after a version as soon as there are any, or none as soon as
 // the store has confirmed that there are none, or after wait. Confirmations thus reach all
-// VMs that read through this one within the latency of the network. It returns Disconnected once the cache has been disconnected for
-// disconnectGrace.
+// VMs that read through this one within the latency of the network. It returns Disconnected
+// once the cache has been disconnected for disconnectGrace.
 func (c *Cache[T]) Changes(ctx context.Context, after platform.StoreVersion, wait time.Duration) Answer[T] {
 	arrived := c.time()
 	timer := time.NewTimer(wait)
--- a/serve/mirror/reading.go
+++ b/serve/mirror/reading.go
@@ -54,12 +54,11 @@
 	vms   chan vmReply
 	// storeCalled is when the call to the store began; zero if there is none in progress.
 	storeCalled time.Time
-	// calledStore reports whether the store was called, and storeFailedAt when a call to it
-	// last failed.
-	calledStore   bool
-	storeFailedAt time.Time
-	// storeErr is the error of the call to the store; nil unless it has failed.
-	storeErr error
+	// calledStore reports whether the store was called, failedAt when the last call to it
+	// failed, and err with which error; nil if none did.
+	calledStore bool
+	failedAt    time.Time
+	err         error
 	// asking holds the VMs whose replies are outstanding, at most maxCandidates.
 	asking []ident.VMID
 	// lastAsked is when the last question was sent, and askedAt when each VM was asked last.
@@ -80,12 +79,12 @@
 		s.callStore(ctx)
 	}
 	for {
-		if s.mayCallStore() {
+		if s.isStoreDue() {
 			s.callStore(ctx)
 		}
 		delay, more := s.askNext(ctx)
 		if !more {
-			return nil, after, cmp.Or(s.storeErr, noPath())
+			return nil, after, cmp.Or(s.err, noPath())
 		}
 		if done, changes, version, err := s.awaitReply(ctx, delay); done {
 			return changes, version, err
@@ -116,7 +115,7 @@
 		if err == nil || storeAnswered(err) {
 			return true, changes, version, err
 		}
-		s.storeErr, s.storeFailedAt = err, time.Now()
+		s.err, s.failedAt = err, time.Now()
 		if isWatchError(err, watch.Recovered) && s.reader.selector.ReadsStore() {
 			s.callStore(ctx)
 		}
@@ -143,9 +142,9 @@
 	return false, nil, 0, nil
 }
 
-// mayCallStore reports whether to call the store while other VMs are asked: if the objects
+// isStoreDue reports whether to call the store while other VMs are asked: if the objects
 // have exceeded the maximum age since, or again if this VM should read the store.
-func (s *reading[T]) mayCallStore() bool {
+func (s *reading[T]) isStoreDue() bool {
 	r := s.reader
 	switch {
 	case r.MaxAge == 0 || !s.storeCalled.IsZero():
@@ -153,7 +152,7 @@
 	case !s.calledStore:
 		return r.isOverdue() && r.shouldReadStore(true)
 	}
-	return r.selector.ReadsStore() && len(s.asking) > 0 && time.Since(s.storeFailedAt) >= repeatDelay
+	return r.selector.ReadsStore() && len(s.asking) > 0 && time.Since(s.failedAt) >= repeatDelay
 }
 
 // isVouched reports whether a reply confirms the objects of a VM that waits for changes from
--- a/serve/vm/mirrors.go
+++ b/serve/vm/mirrors.go
@@ -138,8 +138,8 @@
 
 // acceptUnlisted handles a certificate of a VM that is not the listed one: the VM may have
 // restarted. It asks for a new list of VMs, and accepts the certificate if this VM has lost
-// its path to the store and to its mirrors and so can't get one. The address of the VM then has to do,
-// as for the store itself.
+// its path to the store and to its mirrors and so can't get one. It then trusts the address, as
+// that of the store itself.
 func (v *VM) acceptUnlisted(vm ident.VMID, dialled bool) bool {
 	select {
 	case v.listOutdated <- struct{}{}:
--- a/serve/watch/prober.go
+++ b/serve/watch/prober.go
@@ -52,11 +52,11 @@
 
 // A Prober detects watches that the store no longer serves. While calls wait for the
 // store, it probes the store periodically, for each of the calls in turn. Calls with a check
-// are probed by it instead, each at its own interval. If a probe finds changes, it cancels
-// the call that should have returned them: its connection may be dead while new ones work.
-// If a probe fails, it cancels all calls, and no new ones are made until the store responds
-// again. Watches can therefore wait long, and an unavailable store receives few calls. The
-// zero value is ready to use.
+// are probed by it instead, each at its own interval, unless the store is silent. If a probe
+// finds changes, it cancels the call that should have returned them: its connection may be
+// dead while new ones work. If a probe fails, it cancels all calls, and no new ones are made
+// until the store responds again. Watches can therefore wait long, and an unavailable store
+// receives few calls. The zero value is ready to use.
 type Prober struct {
 	// Now replaces time.Now unless nil. It must be set before Run.
 	Now func() time.Time
@@ -75,8 +75,8 @@
 	// kind did.
 	turnAt    time.Time
 	checkedAt map[string]time.Time
-	// updated signals that the store became silent or responds again, or that a first
-	// call waits.
+	// updated signals that the store became silent or responds again, or that a first call or
+	// one with a check waits.
 	updated task.Signal
 }
 
