--- a/serve/mirror/reading.go
+++ b/serve/mirror/reading.go
@@ -182,10 +182,20 @@
 	s.calledStore, s.storeCalled = true, time.Now()
 	r.storeCalledAt, r.storeRecoveredAt = calledAt, time.Time{}
 	from := r.emptyWatches.continueFrom(calledAt, s.after)
-	go func() {
+	s.start(func() {
 		changes, version, err := r.source.Changes(ctx, from, wait)
 		s.store <- storeReply[T]{calledAt, changes, version, err}
-	}()
+	})
+}
+
+// start runs a call that sends its reply to the reading. Without a maximum age nothing else is
+// done meanwhile.
+func (s *reading[T]) start(call func()) {
+	if s.reader.MaxAge == 0 {
+		call()
+		return
+	}
+	go call()
 }
 
 // askNext asks the next VM if it is time to. It returns how long to wait until it may be time
@@ -262,10 +272,10 @@
 	s.lastAsked = time.Now()
 	s.askedAt[m.VM] = s.lastAsked
 	s.asking = append(s.asking, m.VM)
-	go func() {
+	s.start(func() {
 		answer, err := r.send(ctx, m, q)
 		s.vms <- vmReply{m, q, asked, answer, err}
-	}()
+	})
 }
 
 // acceptStore records the reply of the store to a call for changes after a version.
