mirror: order the other VMs of a region once a list

The order changes with the list of VMs only, so SetMembers keeps it, and a call takes up to three members from it: preferred ones, then those that did not fail, then the rest, as before.

--- a/serve/mirror/selector.go
+++ b/serve/mirror/selector.go
@@ -43,6 +43,9 @@
 	// zoneOrder holds the members of the VM's zone and regionOrder those of its region,
 	// both sorted by compareMembers.
 	zoneOrder, regionOrder []Member
+	// others holds the other members of the region: those that follow this VM in the order,
+	// then those that precede it, alternating between the availability zones.
+	others []Member
 	// othersTurn counts the calls of Others that left members out.
 	othersTurn int
 	// ready is closed by the first call of SetMembers.
@@ -85,6 +88,9 @@
 	}
 	slices.SortFunc(s.zoneOrder, compareMembers)
 	slices.SortFunc(s.regionOrder, compareMembers)
+	before := s.countBefore(s.regionOrder)
+	others := slices.Concat(s.regionOrder[before:], s.regionOrder[:before])
+	s.others = alternateZones(slices.DeleteFunc(others, func(m Member) bool { return m.VM == s.self.VM }))
 	select {
 	case <-s.ready:
 	default:
@@ -148,39 +154,39 @@
 func (s *Selector) Others(now time.Time, preferred []ident.VMID) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.countBefore(s.regionOrder)
-	others := slices.Concat(s.regionOrder[before:], s.regionOrder[:before])
-	others = slices.DeleteFunc(others, func(m Member) bool { return m.VM == s.self.VM })
-	others = alternateZones(others)
-	if len(others) > maxCandidates {
+	start := 0
+	if len(s.others) > maxCandidates {
 		// Each call starts elsewhere, so that a VM with a path is found wherever it is.
 		s.othersTurn++
-		start := int(weight(s.self.VM+ident.VMID(strconv.Itoa(s.othersTurn))) % uint64(len(others)))
-		others = slices.Concat(others[start:], others[:start])
+		start = int(weight(s.self.VM+ident.VMID(strconv.Itoa(s.othersTurn))) % uint64(len(s.others)))
 	}
-	rank := func(m Member) int {
-		if now.Before(s.failedUntil[m.VM]) {
-			return len(preferred) + 1
-		}
-		if i := slices.Index(preferred, m.VM); i >= 0 {
-			return i
+	hasFailed := func(m Member) bool { return now.Before(s.failedUntil[m.VM]) }
+	var out []Member
+	add := func(isWanted func(Member) bool) {
+		for i := 0; i < len(s.others) && len(out) < maxCandidates; i++ {
+			if m := s.others[(start+i)%len(s.others)]; !slices.Contains(out, m) && isWanted(m) {
+				out = append(out, m)
+			}
 		}
-		return len(preferred)
 	}
-	slices.SortStableFunc(others, func(a, b Member) int { return rank(a) - rank(b) })
-	return others[:min(len(others), maxCandidates)]
+	for _, vm := range preferred {
+		add(func(m Member) bool { return m.VM == vm && !hasFailed(m) })
+	}
+	add(func(m Member) bool { return !hasFailed(m) })
+	add(func(Member) bool { return true })
+	return out
 }
 
 // alternateZones returns the members with the first one of each availability zone before
 // the second ones, and so on. It keeps the order otherwise.
 func alternateZones(members []Member) []Member {
-	turns := make(map[Member]int, len(members))
+	turns := make(map[ident.VMID]int, len(members))
 	taken := map[ident.ZoneID]int{}
 	for _, m := range members {
-		turns[m] = taken[m.Zone]
+		turns[m.VM] = taken[m.Zone]
 		taken[m.Zone]++
 	}
-	slices.SortStableFunc(members, func(a, b Member) int { return cmp.Compare(turns[a], turns[b]) })
+	slices.SortStableFunc(members, func(a, b Member) int { return cmp.Compare(turns[a.VM], turns[b.VM]) })
 	return members
 }
 
