watch: a VM that its first list lacks reads the list again soon

Callers saw 404 for a route 3.11 s after its acknowledgement, 3 s allowed, from a VM that the store refused 0.86 s after its start, while it served another one.

Cause: the VMs of a new deployment read the list of VMs before the others have added themselves, and again a second later. The log of the VM has vms-listed with vms 0, and path-regained with no question asked: it knew nobody to read through.

A VM whose first list lacks it now reads the list once more after 0.19 to 0.25 s. A VM that restarts is usually still in the list and reads it as before.

--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -250,7 +250,7 @@
 		InitialConfiguration: initial, Enabled: v.control.shouldWatch, Refresh: v.listOutdated,
 	}
 	if v.discovery != nil {
-		v.watcher.MaxListInterval = vmListInterval
+		v.watcher.MaxListInterval, v.watcher.Self = vmListInterval, v.settings.Message.Vm.Name
 	}
 	v.group.Go(ctx, v.control.run)
 	if v.discovery == nil {
