watch: every VM that is added reads the list of VMs again soon

The first list of this VM held its own entry and no other.

A VM now reads the list again unless it found an entry of an earlier process of its own, which it looks for anyway before it writes its entry.

--- a/serve/vm/discovery.go
+++ b/serve/vm/discovery.go
@@ -228,6 +228,9 @@
 		if old, err = v.discovery.Registry.EntryVersion(ctx, entry.Name); err != nil {
 			return 0, err
 		}
+		if old != 0 {
+			v.wasListed.Store(true)
+		}
 	}
 	return v.discovery.Registry.Enter(ctx, entry, old)
 }
--- a/serve/vm/vm.go
+++ b/serve/vm/vm.go
@@ -106,6 +106,8 @@
 	stopTimes atomic.Pointer[stopTimes]
 	// entryVersion is the version of this VM's entry in the list of VMs; 0 if none.
 	entryVersion atomic.Uint64
+	// wasListed reports whether an earlier process of this VM left its entry.
+	wasListed atomic.Bool
 	// entryLost receives a value when the list of VMs may lack this VM.
 	entryLost chan struct{}
 	// listOutdated receives a value when the list of VMs should be read again.
@@ -250,7 +252,7 @@
 		InitialConfiguration: initial, Enabled: v.control.shouldWatch, Refresh: v.listOutdated,
 	}
 	if v.discovery != nil {
-		v.watcher.MaxListInterval, v.watcher.Self = vmListInterval, v.settings.Message.Vm.Name
+		v.watcher.MaxListInterval, v.watcher.WasListed = vmListInterval, v.wasListed.Load
 	}
 	v.group.Go(ctx, v.control.run)
 	if v.discovery == nil {
--- a/serve/watch/watch.go
+++ b/serve/watch/watch.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"carawaycross.example/carawaycross/core/config"
@@ -19,9 +18,9 @@
 
 const (
 	minListInterval = time.Second
-	// unlistedInterval is the time from the first list of VMs until the next one if the first
-	// lacks this VM, and so perhaps others that have just started.
-	unlistedInterval = minListInterval / 4
+	// addedListInterval is the time from the first list of VMs until the next one if this VM
+	// has just been added, and so perhaps others too.
+	addedListInterval = minListInterval / 4
 	// createDelay is how long a VM waits for a configuration from its peers before it
 	// creates the first one.
 	createDelay = 1500 * time.Millisecond
@@ -46,9 +45,9 @@
 	InitialConfiguration config.Configuration
 	// Enabled receives whether this VM should watch the platform.
 	Enabled <-chan bool
-	// Self is this VM's name in the list of VMs; empty if it does not matter whether the list
-	// holds it.
-	Self string
+	// WasListed, if not nil, reports whether this VM was in the list of VMs before it started.
+	// Otherwise others may be added at the same time, and the first list lacks them.
+	WasListed func() bool
 	// Refresh, if not nil, receives when the list of VMs should be read before the next read
 	// is due.
 	Refresh <-chan struct{}
@@ -159,12 +158,14 @@
 		vms, err := w.Store.VMs(ctx)
 		switch {
 		case err == nil:
+			w.Listener.VMsListed(vms)
 			isFirst := !listed
 			listed = true
-			w.Listener.VMsListed(vms)
-			if isFirst && w.isMissing(vms) {
-				w.awaitListing(ctx, jittered(unlistedInterval))
-				continue
+			if isFirst && w.WasListed != nil {
+				w.awaitListing(ctx, jittered(addedListInterval))
+				if !w.WasListed() {
+					continue
+				}
 			}
 		case !listed:
 			clock.Sleep(ctx, backoff.Next(rand.Float64()))
@@ -178,11 +179,6 @@
 	}
 }
 
-// isMissing reports whether a list lacks this VM.
-func (w *Watcher) isMissing(vms []platform.ListedVM) bool {
-	return w.Self != "" && !slices.ContainsFunc(vms, func(vm platform.ListedVM) bool { return vm.Name == w.Self })
-}
-
 // awaitListing waits until the next read of the list of VMs, for at least minListInterval
 // unless interval is shorter.
 func (w *Watcher) awaitListing(ctx context.Context, interval time.Duration) {
--- a/serve/watch/watch_test.go
+++ b/serve/watch/watch_test.go
@@ -112,25 +112,25 @@
 	})
 }
 
-// TestVMThatIsNotListedReadsTheListSoon guards against VMs of a new deployment that each read
+// TestVMThatIsAddedReadsTheListSoon guards against VMs of a new deployment that each read
 // the list before the others are added, and know no VM to read through for the second until
 // the next read.
-func TestVMThatIsNotListedReadsTheListSoon(t *testing.T) {
+func TestVMThatIsAddedReadsTheListSoon(t *testing.T) {
 	for _, tc := range []struct {
-		self string
-		soon int
-	}{{"vm-0", 2}, {"", 1}} {
+		wasListed bool
+		soon      int
+	}{{false, 2}, {true, 1}} {
 		synctest.Test(t, func(t *testing.T) {
 			store := &pollStore{}
-			w := &Watcher{Store: store, Listener: &countingListener{}, Self: tc.self, MaxListInterval: 10 * time.Second}
+			w := &Watcher{Store: store, Listener: &countingListener{}, WasListed: func() bool { return tc.wasListed }, MaxListInterval: 10 * time.Second}
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
 			w.PollVMs(ctx)
 			if n := store.callsBetween(0, minListInterval/2); n != tc.soon {
-				t.Errorf("self %q: %d reads of the list in the first %v, expected %d", tc.self, n, minListInterval/2, tc.soon)
+				t.Errorf("was listed: %v: %d reads of the list in the first %v, expected %d", tc.wasListed, n, minListInterval/2, tc.soon)
 			}
 			if n := store.callsBetween(0, time.Minute); n > 13 {
-				t.Errorf("self %q: %d reads of the list in a minute, allowed: 13", tc.self, n)
+				t.Errorf("was listed: %v: %d reads of the list in a minute, allowed: 13", tc.wasListed, n)
 			}
 		})
 	}
