node, replica: a replica's Retry-After outlives its entry

Class: what a replica says of itself is tied to its listing.

replica.Notices replaces Departures and keeps both by id and incarnation, bounded in number. The Retry-After of a refusal to callers keeps its limit of a minute.

TestReplicaThatAsksForTimeGetsNoneAfterALapse failed before (20 requests 5 s after 20 s were asked for).

--- a/core/node/attempt.go
+++ b/core/node/attempt.go
@@ -290,13 +290,14 @@
 		}
 		if a.svc.distinctStarts {
 			r.MarkDeparted(now)
-			c.departures.Record(now, r.ID, r.Incarnation)
+			c.notices.RecordDeparture(now, r.ID, r.Incarnation)
 		} else {
 			r.MarkLeaving(now)
 		}
 	}
 	if reply.RetryAfter > 0 {
-		r.Hold(now, reply.RetryAfter, c.randomFraction())
+		until := r.Hold(now, reply.RetryAfter, c.randomFraction())
+		c.notices.RecordHold(now, r.ID, r.Incarnation, until)
 	}
 }
 
--- a/core/node/core.go
+++ b/core/node/core.go
@@ -100,8 +100,8 @@
 	recent   requestCounts
 	// tenants records the admitted queries by tenant, once the configuration has tenants.
 	tenants fairness.Places[ident.TenantID]
-	// departures outlive the states of replicas that are no longer listed.
-	departures replica.Departures
+	// notices outlive the states of replicas that are no longer listed.
+	notices replica.Notices
 	// resumedAt is when the VM last continued after a stall.
 	resumedAt ident.Instant
 	// stopped is true after Stop: new requests are refused. stopsAt is when Stop will be
@@ -176,7 +176,7 @@
 // Install applies a new view published by control.
 func (c *Core) Install(now ident.Instant, v *view.View) {
 	c.view = v
-	c.departures.Expire(now)
+	c.notices.Expire(now)
 	installed := make(map[ident.ServiceID]bool, len(v.Services))
 	for i := range v.Services {
 		vs := &v.Services[i]
@@ -186,7 +186,7 @@
 			svc = newService(vs.ID)
 			c.services[vs.ID] = svc
 		}
-		svc.install(now, c.config.Started, v, vs, &c.departures)
+		svc.install(now, c.config.Started, v, vs, &c.notices)
 		c.scheduleRollout(now, svc)
 		for _, id := range svc.shardOrder {
 			c.serveQueue(now, svc, svc.shards[id])
--- a/core/node/passing.go
+++ b/core/node/passing.go
@@ -36,6 +36,9 @@
 	// minLoadRetryAfter is the least base of the Retry-After of a refusal for load, so that
 	// callers who obey it do not return thousands of times a second.
 	minLoadRetryAfter = 20 * time.Millisecond
+	// maxHoldRetryAfter limits the Retry-After for replicas that asked for time: others may be
+	// added meanwhile.
+	maxHoldRetryAfter = time.Minute
 	// At least minQuotaReserve of a quota is reserved for required parts. Of n parts, the
 	// optional ones may use at most the share optionalParts/n of the quota.
 	minQuotaReserve = 0.25
@@ -387,7 +390,7 @@
 	if r == admission.TooMany || r == admission.CannotMeetDeadline {
 		wait = max(2*q.profile.expectedLatency(now), q.longestWait(now), minLoadRetryAfter)
 	}
-	return max(q.holdLeft(now), wait/2) + time.Duration(jitter*float64(wait))
+	return max(min(q.holdLeft(now), maxHoldRetryAfter), wait/2) + time.Duration(jitter*float64(wait))
 }
 
 // holdLeft returns the time until enough parts have a replica again that did not ask
--- a/core/node/service.go
+++ b/core/node/service.go
@@ -93,7 +93,7 @@
 
 // install updates the service to the view of control. It keeps the state of a replica
 // whose ID and incarnation are unchanged. The VM's process started at started.
-func (s *service) install(now, started ident.Instant, v *view.View, vs *view.Service, departures *replica.Departures) {
+func (s *service) install(now, started ident.Instant, v *view.View, vs *view.Service, notices *replica.Notices) {
 	s.maps = vs.Maps
 	s.choiceStale = true
 	s.hasQuota = vs.QuotaLimits.Set()
@@ -118,11 +118,14 @@
 		started := r == nil || r.Incarnation != vr.Incarnation
 		if started {
 			r = &replica.State{ID: vr.ID, Incarnation: vr.Incarnation}
-			if departures.Includes(r.ID, r.Incarnation) {
+			if notices.Departed(r.ID, r.Incarnation) {
 				r.MarkDeparted(now)
 			}
 		}
 		s.updateReplica(now, v, vs, vr, r)
+		if until, ok := notices.HeldUntil(r.ID, r.Incarnation); started && ok && now < until {
+			r.HoldUntil(until)
+		}
 		// A VM that has just started knows of no replica whether it has just started, too.
 		if started && (!first || now < vr.ColdUntil) {
 			r.BeginPace(now)
--- a/core/node/trouble_test.go
+++ b/core/node/trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,6 +154,39 @@
 	}
 }
 
+// TestReplicaThatAsksForTimeGetsNoneAfterALapse guards against requests to a replica whose
+// Retry-After runs, once its entry was missing for a time: the store did not list it, but
+// its process is the same. Its next process gets requests at once.
+func TestReplicaThatAsksForTimeGetsNoneAfterALapse(t *testing.T) {
+	for _, asked := range []time.Duration{20 * time.Second, 90 * time.Second, time.Hour} {
+		c := newTroubleCase(t, 2)
+		a := c.ask(true)[0]
+		answered := c.now
+		c.reply(a, node.Reply{Outcome: replica.Shed, RetryAfter: asked})
+		listed := slices.Clone(c.view.Services[0].Replicas)
+		c.install(func(s *view.Service) {
+			s.Replicas = slices.DeleteFunc(slices.Clone(listed), func(r view.Replica) bool { return r.ID == a.Replica })
+		})
+		c.now = c.now.Add(asked / 4)
+		c.install(func(s *view.Service) { s.Replicas = listed })
+		for c.now.Sub(answered) < asked {
+			if got := c.serves(20)[a.Replica]; got > 0 {
+				t.Fatalf("%s got %d requests %v after it had asked for %v without", a.Replica, got, c.now.Sub(answered), asked)
+			}
+			c.now = c.now.Add(asked / 16)
+		}
+		c.now = answered.Add(asked/2 + 2*time.Second)
+		c.install(func(s *view.Service) {
+			for i := range s.Replicas {
+				s.Replicas[i].Incarnation++
+			}
+		})
+		if got := c.serves(50)[a.Replica]; got == 0 {
+			t.Errorf("the next process of %s got no request", a.Replica)
+		}
+	}
+}
+
 // TestAllReplicasAskForTime checks that a request is refused at once, as not run, while
 // all replicas ask for time, with a Retry-After until the first of them is back.
 func TestAllReplicasAskForTime(t *testing.T) {
--- a/core/replica/hold.go
+++ b/core/replica/hold.go
@@ -12,10 +12,17 @@
 // Hold stops attempts at the replica for the time that it asked for, extended by up to
 // a quarter, so that the VMs that it refused together do not return together. The
 // factor spread is from 0 to 1. After the hold the replica gets one attempt at a time
-// until replies show that it has room; with Shares.Paced, a pace begins too.
-func (s *State) Hold(now ident.Instant, asked time.Duration, spread float64) {
+// until replies show that it has room; with Shares.Paced, a pace begins too. Hold returns
+// the end of the hold.
+func (s *State) Hold(now ident.Instant, asked time.Duration, spread float64) ident.Instant {
 	extra := time.Duration(spread * float64(min(asked/4, maxHoldSpread)))
-	s.heldUntil = max(s.heldUntil, now.Add(asked+extra))
+	s.HoldUntil(now.Add(asked + extra))
+	return s.heldUntil
+}
+
+// HoldUntil is Hold for a known end.
+func (s *State) HoldUntil(end ident.Instant) {
+	s.heldUntil = max(s.heldUntil, end)
 	s.limit = 1
 	if s.Shares.Paced {
 		s.pace.Begin(s.heldUntil, s.paceShare())
