soak: the tests that start processes run at the same time

Its tests ran one after the other, and TestSoak its seeds too. They now run beside one another, as the seeds of TestSeries did, limited by go test -parallel; seeds, checks and bounds are unchanged, and each seed is a test with a name.

--- a/proof/soak/restarted_test.go
+++ b/proof/soak/restarted_test.go
@@ -14,6 +14,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
+	t.Parallel()
 	// With these seeds, the VM that restarts is the one that the store then serves.
 	for _, seed := range []uint64{188, 231} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/proof/soak/series_test.go
+++ b/proof/soak/series_test.go
@@ -41,6 +41,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
+	t.Parallel()
 	binary := filepath.Join(t.TempDir(), "carawaycross")
 	build := exec.Command("go", "build", "-o", binary, "../../cmd/carawaycross")
 	if out, err := build.CombinedOutput(); err != nil {
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -38,33 +39,37 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
+	t.Parallel()
 	binary := filepath.Join(t.TempDir(), "carawaycross")
 	build := exec.Command("go", "build", "-o", binary, "../../cmd/carawaycross")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
 	for _, s := range seeds {
-		var log []string
-		report, err := soak.Run(context.Background(), soak.Config{
-			Seed: s.seed, Duration: s.duration, Binary: binary, Folder: t.TempDir(), VMs: s.vms,
-			OnFault: func(line string) { log = append(log, line) },
+		t.Run(fmt.Sprint("seed ", s.seed), func(t *testing.T) {
+			t.Parallel()
+			var log []string
+			report, err := soak.Run(context.Background(), soak.Config{
+				Seed: s.seed, Duration: s.duration, Binary: binary, Folder: t.TempDir(), VMs: s.vms,
+				OnFault: func(line string) { log = append(log, line) },
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, broken := range report.Broken {
+				t.Errorf("%s: %s", s.cause, broken)
+			}
+			if report.Requests == 0 || report.Faults == 0 {
+				t.Errorf("%d requests, %d faults", report.Requests, report.Faults)
+			}
+			if !report.Checked() {
+				t.Errorf("not run: %d checks of changes, %d requests that tell versions apart", report.Checks, report.Telling)
+			}
+			t.Logf("%d checks of changes, %d requests judged, %d tell versions apart, greatest lag %v, older version last in force %v",
+				report.Checks, report.Judged, report.Telling, report.GreatestLag, report.LatestOld)
+			if t.Failed() {
+				t.Log(log)
+			}
 		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, broken := range report.Broken {
-			t.Errorf("seed %d (%s): %s", s.seed, s.cause, broken)
-		}
-		if report.Requests == 0 || report.Faults == 0 {
-			t.Errorf("seed %d: %d requests, %d faults", s.seed, report.Requests, report.Faults)
-		}
-		if !report.Checked() {
-			t.Errorf("seed %d: not run: %d checks of changes, %d requests that tell versions apart", s.seed, report.Checks, report.Telling)
-		}
-		t.Logf("seed %d: %d checks of changes, %d requests judged, %d tell versions apart, greatest lag %v, older version last in force %v",
-			s.seed, report.Checks, report.Judged, report.Telling, report.GreatestLag, report.LatestOld)
-		if t.Failed() {
-			t.Log(log)
-		}
 	}
 }
--- a/proof/soak/store_test.go
+++ b/proof/soak/store_test.go
@@ -16,6 +16,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
+	t.Parallel()
 	runOnStore(t, soak.Config{Seed: 101, VMs: 4, Staleness: time.Second, Series: []soak.Step{
 		{At: time.Second, Fault: "configure"},
 		{At: 3 * time.Second, Fault: "stall-store-watches"},
@@ -33,6 +34,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
+	t.Parallel()
 	runOnStore(t, soak.Config{Seed: 101, VMs: 4, Series: []soak.Step{{At: 12 * time.Second, Fault: "restart-served"}}})
 }
 
@@ -42,6 +44,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
+	t.Parallel()
 	runOnStore(t, soak.Config{Seed: 101, VMs: 4, Series: []soak.Step{{At: 10 * time.Second, Fault: "freeze-served"}}})
 }
 
