--- a/serve/mirror/regained_test.go
+++ b/serve/mirror/regained_test.go
@@ -141,12 +141,7 @@
 	if r, ok := regains[hangs]; ok {
 		return r.longest, r.cutLasted
 	}
-	step := 25 * time.Millisecond
-	if testing.Short() {
-		// The race detector has a limit for the events of a process.
-		step *= 4
-	}
-	for lasts := 2 * time.Second; lasts < 12*time.Second; lasts += step {
+	for lasts := 2 * time.Second; lasts < 12*time.Second; lasts += 25 * time.Millisecond {
 		if took := regain(t, &cut{hangs: hangs}, lasts); took > longest {
 			longest, cutLasted = took, lasts
 		}
--- a/serve/mirror/series_test.go
+++ b/serve/mirror/series_test.go
@@ -308,8 +308,7 @@
 // seriesSeeds returns the number of series that a test plays.
 func seriesSeeds() uint64 {
 	if testing.Short() {
-		// The race detector has a limit for the events of a process.
-		return 2
+		return 10
 	}
 	return 40
 }
