gate: OPTIONS * gets the answer of the front

DisableGeneralOptionsHandler passes it on; the front answers as for any path without a route. TestOptionsOfTheServerReachTheHandler failed before with status 200.

--- a/serve/gate/gate.go
+++ b/serve/gate/gate.go
@@ -144,6 +144,8 @@
 	return &http.Server{
 		Handler:        g.handler(h),
 		MaxHeaderBytes: serverHeadBytes,
+		// The handler answers OPTIONS * too.
+		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
--- a/serve/gate/gate_test.go
+++ b/serve/gate/gate_test.go
@@ -60,6 +60,9 @@
 		case "/early":
 			_, _ = io.WriteString(w, strings.Repeat("y", unreadBytes))
 			return
+		case "*":
+			w.WriteHeader(http.StatusNotFound)
+			return
 		}
 		if r.URL.Path == "/held-early" {
 			// It goes on using its memory after a refusal.
@@ -142,6 +145,15 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", path, announced, strings.Repeat("x", sent))
 }
 
+// TestOptionsOfTheServerReachTheHandler guards against requests that the HTTP library answers
+// itself with 200, although no route allows them.
+func TestOptionsOfTheServerReachTheHandler(t *testing.T) {
+	_, address := startServer(t, gate.Times{}, nil)
+	if got := status(send(t, address, "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n")); got != http.StatusNotFound {
+		t.Errorf("status %d, expected that of the handler, %d", got, http.StatusNotFound)
+	}
+}
+
 // TestRequestsThatDoNotArrive checks what callers get whose requests exceed a limit or
 // come too slowly.
 func TestRequestsThatDoNotArrive(t *testing.T) {
