mirror: ask VMs that left the list of VMs lately

Cause: the only VM that the store served had been stopped and started again. The others had read the list of VMs in between, which lacked it, and could not read it again: they asked each other only.

A Selector remembers the members of earlier lists for six lists and names one of them among the VMs to ask. Its new certificate is accepted as that of a listed VM that restarted is.

--- a/serve/mirror/refused_test.go
+++ b/serve/mirror/refused_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,10 +78,12 @@
 		disturb(vms)
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{}, 2*len(vms))
+		remaining := slices.DeleteFunc(slices.Clone(members), func(m mirror.Member) bool { return s.vms[m.VM].hasLeft })
 		for _, v := range vms {
 			selector := mirror.NewSelector(v.member, zones)
 			selector.AlwaysReadStore()
 			selector.SetMembers(members)
+			selector.SetMembers(remaining)
 			prober := &watch.Prober{}
 			source := &watch.Guarded[string]{Probeable: v, Prober: prober, CheckInterval: smallApplyWithin / 4}
 			v.reader = mirror.NewReader[string](source, stringCodec, selector, v)
@@ -206,6 +209,30 @@
 	}
 }
 
+// TestTheOnlyServedVMLeftTheList guards against VMs that the store refuses and that know no VM
+// with a path: the only one that it serves was stopped and started again, and their last list of
+// VMs is from the time in between.
+func TestTheOnlyServedVMLeftTheList(t *testing.T) {
+	var greatest time.Duration
+	for seed := range seriesSeeds() {
+		random := rand.New(rand.NewPCG(seed, 6))
+		refused := span{5 * time.Second, 17 * time.Second}
+		served := random.IntN(4)
+		greatest = max(greatest, playSmall(t, func(vms []*seriesVM) {
+			for i, v := range vms {
+				v.hasLeft = i == served
+				if i != served {
+					v.outages = []storeOutage{{refused, random.IntN(2) == 0}}
+				}
+			}
+		}, changesDuring(random, refused)))
+	}
+	t.Logf("the greatest lag: %v", greatest)
+	if greatest > smallApplyWithin/2 {
+		t.Errorf("a VM had a change after %v, allowed: %v", greatest, smallApplyWithin/2)
+	}
+}
+
 // TestChangesAreReadOnceAWatchIsDead guards against a watch whose connection is dead while
 // probes on other connections succeed, which confirmed objects that were out of date.
 func TestChangesAreReadOnceAWatchIsDead(t *testing.T) {
--- a/serve/mirror/selector.go
+++ b/serve/mirror/selector.go
@@ -46,8 +46,13 @@
 	// others holds the other members of the region: those that follow this VM in the order,
 	// then those that precede it, alternating between the availability zones.
 	others []Member
-	// othersTurn counts the calls of Others that left members out.
+	// othersTurn counts the calls of Others.
 	othersTurn int
+	// departed holds the members of earlier lists that are not in the last one, which may have
+	// restarted since, and departedOrder those of the region, sorted by compareMembers. No
+	// member of the last list is among them.
+	departed      map[ident.VMID]departedMember
+	departedOrder []Member
 	// ready is closed by the first call of SetMembers.
 	ready chan struct{}
 	// failedUntil and disconnectedUntil hold the time until which a VM is not selected as a
@@ -55,12 +60,22 @@
 	failedUntil, disconnectedUntil map[ident.VMID]time.Time
 }
 
+// departedLists is the number of lists without a VM after which it is forgotten.
+const departedLists = 6
+
+// A departedMember is a member that the last lists lacked.
+type departedMember struct {
+	Member
+	// lists is the number of lists without the member, less than departedLists.
+	lists int
+}
+
 // NewSelector returns a Selector without members for the VM self; region holds the zones
 // of its region.
 func NewSelector(self Member, region []ident.ZoneID) *Selector {
 	return &Selector{
 		self: self, region: region, members: map[ident.VMID]Member{}, failedUntil: map[ident.VMID]time.Time{},
-		disconnectedUntil: map[ident.VMID]time.Time{}, ready: make(chan struct{}),
+		disconnectedUntil: map[ident.VMID]time.Time{}, departed: map[ident.VMID]departedMember{}, ready: make(chan struct{}),
 	}
 }
 
@@ -72,6 +87,7 @@
 func (s *Selector) SetMembers(members []Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordDepartures(members)
 	clear(s.members)
 	s.zoneOrder, s.regionOrder = s.zoneOrder[:0], s.regionOrder[:0]
 	for _, m := range members {
@@ -98,6 +114,32 @@
 	}
 }
 
+// recordDepartures updates the departed members for a new list. The lock must be held.
+func (s *Selector) recordDepartures(next []Member) {
+	for vm, d := range s.departed {
+		if d.lists++; d.lists < departedLists {
+			s.departed[vm] = d
+		} else {
+			delete(s.departed, vm)
+		}
+	}
+	for vm, m := range s.members {
+		if vm != s.self.VM && m.Certificate != "" {
+			s.departed[vm] = departedMember{m, 0}
+		}
+	}
+	for _, m := range next {
+		delete(s.departed, m.VM)
+	}
+	s.departedOrder = s.departedOrder[:0]
+	for _, d := range s.departed {
+		if slices.Contains(s.region, d.Zone) {
+			s.departedOrder = append(s.departedOrder, d.Member)
+		}
+	}
+	slices.SortFunc(s.departedOrder, compareMembers)
+}
+
 // Ready returns a channel that is closed by the first call of SetMembers.
 func (s *Selector) Ready() <-chan struct{} { return s.ready }
 
@@ -110,11 +152,17 @@
 // names.
 func weight(vm ident.VMID) uint64 { return xxhash.Sum64String("mirror " + string(vm)) }
 
-// Certificate returns the digest of a VM's certificate, or false if it has none.
+// Certificate returns the digest of the certificate of a VM that is listed or was lately, or
+// false if it has none.
 func (s *Selector) Certificate(vm ident.VMID) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, ok := s.members[vm]
+	if !ok {
+		var d departedMember
+		d, ok = s.departed[vm]
+		m = d.Member
+	}
 	return m.Certificate, ok && m.Certificate != ""
 }
 
@@ -150,30 +198,39 @@
 // availability zones, because a VM that is cut off from one VM of a zone is often cut off
 // from all of them. A VM that is disconnected as a mirror may still have a path. The VMs
 // preferred come first, those that did not answer last: a single lost answer must not leave
-// this VM without any to ask.
+// this VM without any to ask. One of them is a VM that left the list lately, if any: it may
+// have restarted since the list was read.
 func (s *Selector) Others(now time.Time, preferred []ident.VMID) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	start := 0
-	if len(s.others) > maxCandidates {
-		// Each call starts elsewhere, so that a VM with a path is found wherever it is.
-		s.othersTurn++
-		start = int(weight(s.self.VM+ident.VMID(strconv.Itoa(s.othersTurn))) % uint64(len(s.others)))
-	}
+	s.othersTurn++
 	hasFailed := func(m Member) bool { return now.Before(s.failedUntil[m.VM]) }
+	isWell := func(m Member) bool { return !hasFailed(m) }
 	var out []Member
-	add := func(isWanted func(Member) bool) {
-		for i := 0; i < len(s.others) && len(out) < maxCandidates; i++ {
-			if m := s.others[(start+i)%len(s.others)]; !slices.Contains(out, m) && isWanted(m) {
+	add := func(members []Member, limit int, isWanted func(Member) bool) {
+		start := 0
+		if len(members) > maxCandidates {
+			// Each call starts elsewhere, so that a VM with a path is found wherever it is.
+			start = int(weight(s.self.VM+ident.VMID(strconv.Itoa(s.othersTurn))) % uint64(len(members)))
+		}
+		for i := 0; i < len(members) && len(out) < limit; i++ {
+			if m := members[(start+i)%len(members)]; !slices.Contains(out, m) && isWanted(m) {
 				out = append(out, m)
 			}
 		}
 	}
 	for _, vm := range preferred {
-		add(func(m Member) bool { return m.VM == vm && !hasFailed(m) })
+		isPreferred := func(m Member) bool { return m.VM == vm && isWell(m) }
+		add(s.others, maxCandidates, isPreferred)
+		add(s.departedOrder, maxCandidates, isPreferred)
+	}
+	if slices.ContainsFunc(s.departedOrder, isWell) {
+		add(s.others, maxCandidates-1, isWell)
+		add(s.departedOrder, min(len(out)+1, maxCandidates), isWell)
 	}
-	add(func(m Member) bool { return !hasFailed(m) })
-	add(func(Member) bool { return true })
+	add(s.others, maxCandidates, isWell)
+	add(s.others, maxCandidates, hasFailed)
+	add(s.departedOrder, maxCandidates, hasFailed)
 	return out
 }
 
--- a/serve/mirror/series_test.go
+++ b/serve/mirror/series_test.go
@@ -37,6 +37,8 @@
 	deadAt  []time.Duration
 	// startsAt is when the VM starts.
 	startsAt time.Duration
+	// hasLeft reports whether the last list of VMs lacks the VM, which was in the one before.
+	hasLeft bool
 	// asked counts the questions to other VMs.
 	asked atomic.Int64
 	mu    sync.Mutex
