model: a VM knows the first one if a list of its incarnation held it

TestHistories failed with "shorten-list vm-2": vm-2 read through vm-0, although its last list of VMs lacks vm-0. Since "ask VMs that left the list of VMs lately" that is a path. The model took such a VM for one without any.

The model now says that a VM knows the first VM if a list of its incarnation held it, in both directions: a VM that knows it and can reach it must have the newest version, and one that never knew it, as after a restart with a short list, must notice that it has no path.

--- a/proof/model/explore.go
+++ b/proof/model/explore.go
@@ -116,7 +116,7 @@
 	var b strings.Builder
 	fmt.Fprint(&b, w.version, len(w.broken), w.cut, w.paused, w.short)
 	for _, v := range w.vms {
-		fmt.Fprint(&b, "|", v.follower.State(), v.held, v.highest, v.reader.State(w.now))
+		fmt.Fprint(&b, "|", v.follower.State(), v.held, v.highest, v.knowsFirst, v.reader.State(w.now))
 	}
 	return b.String()
 }
--- a/proof/model/world.go
+++ b/proof/model/world.go
@@ -81,6 +81,9 @@
 	routes  ident.RoutesVersion
 	// failed reports whether the last read failed.
 	failed bool
+	// knowsFirst reports whether a list of this incarnation held the first VM. At most one
+	// list lacks it before the next one that holds it, so it is not forgotten.
+	knowsFirst bool
 }
 
 func newWorld(vms int) *world {
@@ -124,6 +127,8 @@
 	list := w.members
 	if w.short[i] {
 		list = list[1:]
+	} else {
+		w.vms[i].knowsFirst = true
 	}
 	w.vms[i].selector.SetMembers(list)
 }
@@ -209,8 +214,8 @@
 			return true
 		}
 		for next := range w.vms {
-			listed := next != 0 || !w.short[at]
-			if !seen[next] && listed && w.connected(at, next) {
+			known := next != 0 || w.vms[at].knowsFirst
+			if !seen[next] && known && w.connected(at, next) {
 				seen[next] = true
 				queue = append(queue, next)
 			}
