--- a/serve/peer/pinned.go
+++ b/serve/peer/pinned.go
@@ -28,9 +28,9 @@
 }
 
 // An Unlisted is called for a certificate that names a VM that is or was listed but is not the
-// listed one: the VM has restarted since the list was read, or something else uses its name. If the VM was
-// dialled at its listed address, it returns whether to accept the certificate. It may be called
-// from several goroutines and must not block.
+// listed one: the VM has restarted since the list was read, or something else uses its name. If
+// the VM was dialled at its listed address, it returns whether to accept the certificate. It may
+// be called from several goroutines and must not block.
 type Unlisted func(vm ident.VMID, dialled bool) bool
 
 // NewPinned returns the identity of a VM with a new key and certificate.
