mirror: a failing test of VMs that left the list of VMs, found by review

A reviewer who had not seen "ask VMs that left the list of VMs lately" showed that with two or three such VMs only one is ever asked, always the same, although a place is free. After a restart of several VMs the only one with a path may never be asked, the fault that the change was to mend.

--- a/serve/mirror/departed_test.go
+++ b/serve/mirror/departed_test.go
@@ -54,3 +54,27 @@
 		t.Errorf("listed again: certificate %q", digest)
 	}
 }
+
+// TestEachVMThatLeftTheListIsAsked guards against a VM with a path that is never asked, because
+// another one left the list too and takes its place.
+func TestEachVMThatLeftTheListIsAsked(t *testing.T) {
+	zones := []ident.ZoneID{"z0"}
+	var members []mirror.Member
+	for i := range 4 {
+		members = append(members, mirror.Member{VM: ident.VMID(fmt.Sprint("vm-", i)), Zone: "z0", Certificate: "c"})
+	}
+	for listed := 1; listed < len(members); listed++ {
+		s := mirror.NewSelector(members[0], zones)
+		s.SetMembers(members)
+		s.SetMembers(members[:listed])
+		asked := map[ident.VMID]bool{}
+		for range 50 {
+			for _, m := range s.Others(time.Now(), nil) {
+				asked[m.VM] = true
+			}
+		}
+		if len(asked) != len(members)-1 {
+			t.Errorf("%d of four VMs are listed: only %v are asked", listed, asked)
+		}
+	}
+}
